--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -25,7 +25,6 @@
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
 PACE_UP, PACE_DOWN = 0.2, 0.4  # weight of one outcome in a worker's pace; good news counts more
-IN_TIME = 2.0  # times the usual latency that must be left before the wanted time: one in seven takes more
 SLOW = 2.5  # times the median pace: such a worker gets one trial at a time
 SILENCE = 4.0  # times the usual latency without an outcome: no room until the next one
 LATE = 5.0  # times the usual latency: an attempt is late, another may be made
@@ -175,7 +174,7 @@
         """
         bound = call.bound()
         group = self._group(call.band, bound.worker) if bound else ""
-        second = call.over_share or self.now + IN_TIME * call.function.latency > call.aim
+        second = call.over_share or self.now + call.function.latency > call.aim
         if not call.held:
             call.held = True
             call.function.held += 1
@@ -186,9 +185,8 @@
         queue = self.lines[line]
         while queue:
             call = queue[0]
-            usual = call.function.latency
-            by = call.deadline - usual if line[0] else call.aim - IN_TIME * usual
-            if call.held and self.now <= by:
+            usual = self.now + call.function.latency
+            if call.held and usual <= (call.deadline if line[0] else call.aim):
                 return call
             queue.popleft()
             if call.held and line[0] == 0:
