--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -12,11 +12,10 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
 
 from swiftwell import interface as io
 from swiftwell.interface import Effect, ListKind, State, Status
-from swiftwell.records import Attempt, Budget, Call, Function, Rate, Worker
+from swiftwell.records import Attempt, Belief, Budget, Call, Function, Rate, Window, Worker, listed
 
 FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
 CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
@@ -25,6 +24,7 @@
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
 PACE_UP, PACE_DOWN = 0.2, 0.4  # weight of one outcome in a worker's pace; good news counts more
+SECOND_PART = 0.5  # of a worker's cap: what calls of the second class may fill
 SLOW = 2.5  # times the median pace: such a worker gets one trial at a time
 SILENCE = 4.0  # times the usual latency without an outcome: no room until the next one
 LATE = 5.0  # times the usual latency: an attempt is late, another may be made
@@ -61,8 +61,10 @@
         self.calls: dict[str, Call] = {}
         self.lines: dict[Line, deque[Call]] = {}
         self.timers: dict[int, tuple[Callable[..., None], tuple]] = {}
-        self.taken: deque[int] = deque()
-        self.orders: deque[int] = deque()
+        self.takers = {io.Request: self._request, io.Outcome: self._outcome, io.Loaded: self._loaded}
+        self.takers |= {io.Members: self._members, io.Timer: self._timer, io.Left: self._left}
+        self.takers[io.First] = self._first
+        self.taken, self.orders = Window(), Window()
         self.retries = Budget(RETRY_BURST, RETRY_BURST)
         self.questions = Budget(ASK_BURST, ASK_BURST)
         self.latency = FIRST_LATENCY * min((band.target_us for band in settings.classes), default=1_000_000)
@@ -78,26 +80,25 @@
             if self.told.asked_discovery:
                 self._watch()
         for event in events:
-            match event:
-                case io.Request():
-                    self._request(event)
-                case io.Outcome():
-                    self._outcome(event)
-                case io.Timer():
-                    act, args = self.timers.pop(event.token, (None, ()))
-                    if act:
-                        act(*args)
-                case io.Loaded():
-                    self._loaded(event)
-                case io.Members():
-                    self._members(event)
-                case io.Left() if event.id in self.calls:
-                    self._end(self.calls[event.id])
-                case io.First() if event.id in self.calls:
-                    self.calls[event.id].streaming = True
+            self.takers.get(type(event), self._skip)(event)
         self._dispatch()
         return self.actions
 
+    def _skip(self, event: io.Event) -> None:
+        """Probes and messages of other routers are not made use of."""
+
+    def _timer(self, event: io.Timer) -> None:
+        act, args = self.timers.pop(event.token, (self._skip, (event,)))
+        act(*args)
+
+    def _left(self, event: io.Left) -> None:
+        if event.id in self.calls:
+            self._end(self.calls[event.id])
+
+    def _first(self, event: io.First) -> None:
+        if event.id in self.calls:
+            self.calls[event.id].streaming = True
+
     def _after(self, delay: float, act: Callable[..., None], *args: object) -> None:
         self.seq += 1
         self.timers[self.seq] = (act, args)
@@ -110,13 +111,8 @@
         if event.how is ListKind.FAILED:  # the old list holds; ask again, but not at once
             self._after(TRIAL_US, self._watch)
             return
-        for entry in event.entries:
+        for entry in listed(event, [worker.entry for worker in self.workers.values()]):
             self._entry(entry)
-        if event.how is not ListKind.DELTA:
-            named = {entry.worker for entry in event.entries}
-            for name, worker in self.workers.items():
-                if name not in named:
-                    self._entry(replace(worker.entry, state=State.GONE))
         weights = [w.entry.weight for w in self.workers.values() if w.ready]
         self.weight = sum(weights) / len(weights) if self.told.sized_weights and weights else 0.0
 
@@ -151,7 +147,7 @@
             rate.add(self.now)
         self.retries.earn(RETRY_SHARE)
         self.questions.earn(ASK_SHARE)
-        self.taken.append(self.now)
+        self.taken.add(self.now)
         call = Call(request, band, function, self.seq, self.now, self._over_share(request.tenant))
         self.calls[request.id] = call
         # Two ticks early: timers land on the next tick, and the answer must precede the deadline.
@@ -169,30 +165,39 @@
     def _hold(self, call: Call) -> None:
         """Put a call in line; one bound to a group waits apart, so that it blocks nobody.
 
-        Calls that can't be in time any more and those over a tenant's share wait behind all others:
-        against overload and one tenant's burst.  Under a lasting overload they are never served.
+        Calls that can't be in time any more and those over a tenant's share wait behind all others and
+        get only part of the caps: against overload and one tenant's burst, whatever causes them.  It
+        may hurt where a late answer is worth as much as one in time.
         """
         bound = call.bound()
-        group = self._group(call.band, bound.worker) if bound else ""
-        second = call.over_share or self.now + call.function.latency > call.aim
+        group = bound.worker.group(call.band) if bound else ""
         if not call.held:
             call.held = True
             call.function.held += 1
-        self.lines.setdefault((int(second), call.function.name, group), deque()).append(call)
+        self.lines.setdefault((int(self._second(call)), call.function.name, group), deque()).append(call)
+
+    def _second(self, call: Call) -> bool:
+        return call.over_share or self.now + call.function.latency > call.aim
+
+    def _unhold(self, call: Call) -> None:
+        call.function.held -= call.held
+        call.held = False
 
     def _head(self, line: Line) -> Call | None:
         """The first call of a line that waits; late ones change line, hopeless ones are answered."""
         queue = self.lines[line]
         while queue:
             call = queue[0]
-            usual = self.now + call.function.latency
-            if call.held and usual <= (call.deadline if line[0] else call.aim):
+            usual = call.function.latency
+            if call.held and self.now + usual <= (call.deadline if line[0] else call.aim):
                 return call
             queue.popleft()
             if call.held and line[0] == 0:
                 self._hold(call)
-            elif call.held and not call.outstanding():
-                self._finish(call)
+            elif call.held:
+                self._unhold(call)
+                if not call.outstanding():
+                    self._finish(call)
         del self.lines[line]
         return None
 
@@ -224,38 +229,35 @@
     def _choose(self, call: Call) -> tuple[Worker | None, bool]:
         """The ranking: warm first, then most of our own in flight, then the tie hash."""
         function, grow = call.function, self._may_grow(call)
-        tried = [a.worker for a in call.attempts if a.out]
+        tried, part = [a.worker for a in call.attempts if a.out], SECOND_PART if self._second(call) else 1.0
         best, best_rank = None, (False, -1, -1)
         for worker in self.workers.values():
-            copies = self._copies(worker, function)
+            copies = worker.believed(function.name, self.now)
             rank = (copies > 0, worker.inflight, worker.order)
-            if rank < best_rank or worker in tried or not self._open(worker):
+            if rank < best_rank or worker in tried or not self._open(worker, part):
                 continue
             free = worker.busy.get(function.name, 0) < function.lanes * copies
             if (free if copies else grow and self._fits(worker, function)) and self._may_send(call, worker):
                 best, best_rank = worker, rank
         return best, best_rank[0]
 
-    def _copies(self, worker: Worker, function: Function) -> int:
-        """Copies believed there; a belief fades with the told idle life since our last outcome."""
-        count, fades = worker.copies.get(function.name, (0, 0))
-        return count if self.now < fades or function.name in worker.busy else 0
-
     def _fits(self, worker: Worker, function: Function) -> bool:
-        """Cold room: memory for one more copy in our own account."""
+        """Cold room: memory for one more copy in our own account, and none coming or just failed."""
         if function.name in worker.coming or self.now < worker.shut.get(function.name, 0):
             return False
-        used = sum(self.functions[name].memory for name in worker.coming)
-        for name in worker.copies:
-            used += self.functions[name].memory * self._copies(worker, self.functions[name])
-        return used + function.memory <= worker.memory
+        return worker.memory_used(self.now) + function.memory <= worker.memory
+
+    def _believe(self, worker: Worker, function: Function, count: int) -> None:
+        """A belief rests on a send or an answer and fades past the told idle life."""
+        fades = self.now + self.told.idle_life_us
+        worker.copies[function.name] = Belief(count, function.memory, self.now, fades)
 
-    def _open(self, worker: Worker) -> bool:
-        """Whether a worker may have room at all, whatever the function."""
+    def _open(self, worker: Worker, part: float = 1.0) -> bool:
+        """Whether a worker may have room at all in that part of its cap, whatever the function."""
         if not worker.ready or self.now < max(worker.rest_until, worker.full_until):
             return False
         size = worker.entry.weight / self.weight if self.weight else 1.0
-        if worker.inflight >= max(1, int(worker.cap * size)):
+        if worker.inflight >= max(1, int(worker.cap * size * part)):
             return False
         return not self._suspect(worker) and self._warmed(worker)
 
@@ -273,44 +275,31 @@
         """Rule 4: our part of what a starting worker may be sent, at the slowest warm-up allowed."""
         begun = max(worker.entry.started_us, worker.lost_at)
         if not begun or self.now - begun >= self.told.cold_us:
-            worker.sends.clear()
+            worker.sends.count(self.now)  # keeps the window short
             return True
-        while worker.sends and worker.sends[0] < self.now - self.told.fall_us:
-            worker.sends.popleft()
         age = max(0, self.now - begun) / self.told.cold_us
         share = self.told.cold_share + (1 - self.told.cold_share) * age
         # One core at the usual latency: no worker has less, so this errs on the safe side.
         budget = self.told.fall_multiple * share * self.told.fall_us / self.latency / self.told.routers
-        return len(worker.sends) + 1 <= budget
+        return worker.sends.count(self.now - self.told.fall_us) + 1 <= budget
 
     def _may_send(self, call: Call, worker: Worker) -> bool:
         """Rule 2: where this call may go, given what its earlier attempts may have done."""
         bound = call.bound()
         if bound is None or call.band.effect is Effect.SAFE:
             return True
-        if call.band.effect is Effect.UNSAFE or self._group(call.band, worker) != self._group(
-            call.band, bound.worker
-        ):
+        if call.band.effect is Effect.UNSAFE or worker.group(call.band) != bound.worker.group(call.band):
             return False
         return self.now < bound.sent + call.band.memory_us - 2 * self.told.tick_us
 
-    def _group(self, band: io.RequestClass, worker: Worker) -> str:
-        if band.effect is not Effect.KEYED or band.scope == "all":
-            return "all"
-        return str(worker.entry.cell) if band.scope == "cell" else worker.entry.zone
-
     def _send(self, call: Call, worker: Worker, cold: bool) -> None:
         function, now = call.function, self.now
-        call.held = False
-        function.held -= 1
+        self._unhold(call)
         attempt = Attempt(call, len(call.attempts), worker, now, cold)
         call.attempts.append(attempt)
-        worker.quiet_since = worker.quiet_since if worker.inflight else now
-        worker.inflight += 1
-        worker.busy[function.name] = worker.busy.get(function.name, 0) + 1
-        worker.sends.append(now)
+        worker.begin(function.name, now)
         if cold:
-            worker.copies[function.name] = (1, now + self.told.idle_life_us)
+            self._believe(worker, function, 1)
         self.actions.append(io.Send(call.request.id, worker.entry.worker, call.deadline))
         self._after(LATE * function.latency + (function.load_us if cold else 0), self._late, attempt)
 
@@ -322,11 +311,7 @@
             return
         attempt = call.attempts[event.attempt]
         attempt.out, attempt.maybe_ran = False, event.status not in io.NEVER_RAN
-        worker, name = attempt.worker, call.function.name
-        worker.inflight -= 1
-        worker.busy[name] -= 1
-        if not worker.busy[name]:
-            del worker.busy[name]
+        attempt.worker.finish(call.function.name)
         self._learn(attempt, event)
         if event.closed or event.status is Status.OK:
             call.ended = True
@@ -342,8 +327,7 @@
         match event.status:
             case Status.OK:
                 worker.full_until, worker.failures = 0, 0
-                count = max(1, worker.copies.get(function.name, (1, 0))[0])
-                worker.copies[function.name] = (count, now + self.told.idle_life_us)
+                self._believe(worker, function, max(1, worker.believed(function.name, now)))
                 if not attempt.cold and event.note & 7 in (0, 1):
                     self._timed(attempt, event.latency_us)
             case Status.FULL:
@@ -414,8 +398,7 @@
 
     def _end(self, call: Call) -> None:
         call.ended = True
-        call.function.held -= call.held
-        call.held = False
+        self._unhold(call)
         if not call.outstanding():
             self.calls.pop(call.request.id, None)
 
@@ -429,7 +412,8 @@
         if function.coming:
             many = function.held > 2 * function.lanes * function.coming
             return many and function.coming < MOST_COMING
-        standing = any(self._copies(w, function) and not self._suspect(w) for w in self.workers.values())
+        holders = (w for w in self.workers.values() if w.believed(function.name, self.now))
+        standing = any(not self._suspect(worker) for worker in holders)
         return not standing or self.now - call.arrived > GROW_WAIT_US
 
     def _ask(self, function: Function) -> bool:
@@ -445,21 +429,18 @@
 
     def _order(self, worker: Worker, function: Function) -> bool:
         """Order a copy, within the ration (rule 5): every order counts, in a sliding window."""
-        told, since = self.told, self.now - self.told.load_window_us
-        while self.orders and self.orders[0] < since - told.tick_us:
-            self.orders.popleft()
-        while self.taken and self.taken[0] <= since:
-            self.taken.popleft()
-        if told.load_window_us and len(self.orders) + 1 > told.load_free + told.load_share * len(self.taken):
+        told, name, since = self.told, function.name, self.now - self.told.load_window_us
+        allowed = told.load_free + told.load_share * self.taken.count(since + 1)
+        if self.orders.count(since - told.tick_us) + 1 > allowed and told.load_window_us:
             return False
-        self.orders.append(self.now)
-        self.actions.append(io.Load(worker.entry.worker, function.name, 1))
-        if function.name not in worker.coming and not self._copies(worker, function):
-            worker.coming[function.name] = self.now
+        self.orders.add(self.now)
+        self.actions.append(io.Load(worker.entry.worker, name, 1))
+        if name not in worker.coming and not worker.believed(name, self.now):
+            worker.coming[name] = Belief(1, function.memory, self.now, 0)
             function.coming += 1
             self.loading += 1
             stall = LOAD_STALL * max(function.load_us, self.load_us)
-            self._after(stall, self._stalled, worker, function, self.now)
+            self._after(stall, self._load_failed, worker, function, worker.coming[name])
         return True
 
     def _arrived(self, worker: Worker, function: Function) -> None:
@@ -467,29 +448,26 @@
             function.coming -= 1
             self.loading -= 1
 
-    def _stalled(self, worker: Worker, function: Function, ordered: int) -> None:
-        if worker.coming.get(function.name) == ordered:
-            self._load_failed(worker, function)
-
-    def _load_failed(self, worker: Worker, function: Function) -> None:
+    def _load_failed(self, worker: Worker, function: Function, order: Belief) -> None:
         """Loads that fail or stall, anywhere: fewer at once, and not here for a while."""
-        self._arrived(worker, function)
-        worker.shut[function.name] = self.now + int(self.load_us)
-        self.load_cap = max(1.0, self.load_cap / 2)
+        if worker.coming.get(function.name) is order:
+            self._arrived(worker, function)
+            worker.shut[function.name] = self.now + int(self.load_us)
+            self.load_cap = max(1.0, self.load_cap / 2)
 
     def _loaded(self, event: io.Loaded) -> None:
         worker, function = self.workers.get(event.worker), self.functions.get(event.function)
         if worker is None or function is None:
             return
-        coming, stand = function.name in worker.coming, event.copies > 0
+        coming, stand = worker.coming.get(function.name), event.copies > 0
         if stand:
-            worker.copies[function.name] = (event.copies, self.now + self.told.idle_life_us)
+            self._believe(worker, function, event.copies)
         if function.asking and not (coming and stand):
             function.asking -= 1
             if stand or not function.asking:
                 function.ask_until = self.now
         if coming and event.status is not Status.OK:
-            self._load_failed(worker, function)
+            self._load_failed(worker, function, coming)
             if event.status in (Status.RESET, Status.CONNECT_FAILED):
                 self._rest(worker)
         elif coming and stand:
@@ -504,22 +482,18 @@
         self._after(SWEEP_US, self._sweep)
         paces = sorted(worker.pace for worker in self.workers.values() if worker.ready)
         self.median = max(0.1, paces[len(paces) // 2]) if paces else 1.0
+        self.taken.count(self.now - self.told.load_window_us)  # keeps the window short
+        for worker in self.workers.values():
+            believed = list(worker.copies)
+            worker.copies = {n: worker.copies[n] for n in believed if worker.believed(n, self.now)}
+            worker.shut = {name: until for name, until in worker.shut.items() if until > self.now}
         for function in list(self.functions.values()):
             if self.now - function.rate.at <= KEEP_LIVES * self.told.idle_life_us:
                 if function.uses > 1 and self.told.may_load:
                     self._tend(function)
-            elif not (function.held or function.coming) and not self._used(function):
+            elif not (function.held or function.coming):
                 del self.functions[function.name]
 
-    def _used(self, function: Function) -> bool:
-        """Whether calls are out; if none are, faded beliefs are cleared away."""
-        if any(function.name in worker.busy for worker in self.workers.values()):
-            return True
-        for worker in self.workers.values():
-            worker.copies.pop(function.name, None)
-            worker.shut.pop(function.name, None)
-        return False
-
     def _tend(self, function: Function) -> None:
         """Renew the copies that demand needs before they fade, and order one more where it lacks."""
         at_work = function.rate.per_us(self.now) * function.latency
@@ -527,13 +501,12 @@
         ranked = sorted(self.workers.values(), key=lambda w: (w.inflight, w.order), reverse=True)
         ranked, standing = [w for w in ranked if self._open(w)], function.coming
         for worker in ranked:
-            if copies := self._copies(worker, function):
-                soon = worker.copies[function.name][1] - self.now < 2 * self.load_us
-                if standing < wanted and soon and function.name not in worker.busy:
-                    self._order(worker, function)
-                    worker.copies[function.name] = (copies, self.now + self.told.idle_life_us)
+            if copies := worker.believed(function.name, self.now):
+                soon = worker.copies[function.name].fades - self.now < 2 * self.load_us
+                if standing < wanted and soon and self._order(worker, function):
+                    self._believe(worker, function, copies)
                 standing += copies
         if standing < wanted and not function.coming and self.loading < int(self.load_cap):
-            cold = [w for w in ranked if not self._copies(w, function) and self._fits(w, function)]
+            cold = [w for w in ranked if not w.believed(function.name, self.now) and self._fits(w, function)]
             if cold:
                 self._order(cold[0], function)
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -4,11 +4,20 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from swiftwell import interface as io
 
 
+def listed(event: io.Members, known: list[io.WorkerEntry]) -> list[io.WorkerEntry]:
+    """The entries an update changes; a worker that a full list leaves out has gone."""
+    entries = list(event.entries)
+    if event.how is not io.ListKind.DELTA:
+        named = {entry.worker for entry in entries}
+        entries += [replace(e, state=io.State.GONE) for e in known if e.worker not in named]
+    return entries
+
+
 @dataclass(slots=True)
 class Rate:
     """Events a microsecond, averaged over a span that the user states."""
@@ -42,6 +51,31 @@
         return True
 
 
+@dataclass(slots=True)
+class Window:
+    """The times of events, to count those of late."""
+
+    times: deque[int] = field(default_factory=deque)
+
+    def add(self, now: int) -> None:
+        self.times.append(now)
+
+    def count(self, since: int) -> int:
+        while self.times and self.times[0] < since:
+            self.times.popleft()
+        return len(self.times)
+
+
+@dataclass(slots=True)
+class Belief:
+    """Copies of a function at a worker; a belief made at `since` holds until `fades`."""
+
+    count: int
+    memory: float
+    since: int
+    fades: int
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One send of a call."""
@@ -114,10 +148,10 @@
     cap: float
     inflight: int = 0
     busy: dict[str, int] = field(default_factory=dict)  # function: in flight
-    copies: dict[str, tuple[int, int]] = field(default_factory=dict)  # function: count, fades at
-    coming: dict[str, int] = field(default_factory=dict)  # function: ordered at
+    copies: dict[str, Belief] = field(default_factory=dict)
+    coming: dict[str, Belief] = field(default_factory=dict)  # ordered at `since`, not yet standing
     shut: dict[str, int] = field(default_factory=dict)  # function: no new copy before
-    sends: deque[int] = field(default_factory=deque)  # while it warms up
+    sends: Window = field(default_factory=Window)
     quiet_since: int = 0
     full_until: int = 0
     rest_until: int = 0
@@ -129,3 +163,34 @@
     @property
     def ready(self) -> bool:
         return self.entry.state is io.State.READY
+
+    def group(self, band: io.RequestClass) -> str:
+        """The group of workers that drops repeats of a keyed request, as the wire states it."""
+        if band.effect is not io.Effect.KEYED or band.scope == "all":
+            return "all"
+        return str(self.entry.cell) if band.scope == "cell" else self.entry.zone
+
+    def believed(self, name: str, now: int) -> int:
+        """Copies believed here; a copy at work does not fade."""
+        belief = self.copies.get(name)
+        return belief.count if belief and (now < belief.fades or name in self.busy) else 0
+
+    def memory_used(self, now: int) -> float:
+        """Memory of the copies that we believe here or have ordered."""
+        coming = sum(belief.memory for belief in self.coming.values())
+        return coming + sum(b.memory * self.believed(name, now) for name, b in self.copies.items())
+
+    def begin(self, name: str, now: int) -> None:
+        """Count a call of a function in flight."""
+        if not self.inflight:
+            self.quiet_since = now
+        self.inflight += 1
+        self.busy[name] = self.busy.get(name, 0) + 1
+        self.sends.add(now)
+
+    def finish(self, name: str) -> None:
+        """Count it out again."""
+        self.inflight -= 1
+        self.busy[name] -= 1
+        if not self.busy[name]:
+            del self.busy[name]
