--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -11,11 +11,10 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Callable
 
 from swiftwell import interface as io
 from swiftwell.interface import Effect, ListKind, State, Status
-from swiftwell.records import Attempt, Belief, Budget, Call, Function, Rate, Window, Worker, listed
+from swiftwell.records import Attempt, Belief, Books, Budget, Call, Function, Line, Rate, Worker, listed
 
 FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
 CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
@@ -24,7 +23,6 @@
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
 PACE_UP, PACE_DOWN = 0.2, 0.4  # weight of one outcome in a worker's pace; good news counts more
-SECOND_PART = 0.5  # of a worker's cap: what calls of the second class may fill
 SLOW = 2.5  # times the median pace: such a worker gets one trial at a time
 SILENCE = 4.0  # times the usual latency without an outcome: no room until the next one
 LATE = 5.0  # times the usual latency: an attempt is late, another may be made
@@ -45,33 +43,18 @@
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
 SWEEP_US = 250_000  # us between looks at paces, at copies to renew and at demand
 
-Line = tuple[int, str, str]  # class of service (0 first), function, group that a repeat is bound to
 
-
-class Router:
+class Router(Books):
     """One router's decisions: `handle` takes a batch of events and gives the actions."""
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
-        self.told, self.seed = settings, seed  # no choice is left to chance so far: the seed is unused
-        self.bands = {band.name: band for band in settings.classes}
-        self.quotas = {tenant.name: tenant.quota_rps for tenant in settings.tenants}
-        self.rates = {name: Rate(RATE_US) for name in ["", *self.quotas]}  # "" stands for all tenants
-        self.workers: dict[str, Worker] = {}
-        self.functions: dict[str, Function] = {}
-        self.calls: dict[str, Call] = {}
-        self.lines: dict[Line, deque[Call]] = {}
-        self.timers: dict[int, tuple[Callable[..., None], tuple]] = {}
-        self.takers = {io.Request: self._request, io.Outcome: self._outcome, io.Loaded: self._loaded}
-        self.takers |= {io.Members: self._members, io.Timer: self._timer, io.Left: self._left}
-        self.takers[io.First] = self._first
-        self.taken, self.orders = Window(), Window()
+        super().__init__(settings, seed)
+        self.rates: dict[str, Rate] = {}  # of each tenant's calls
         self.retries = Budget(RETRY_BURST, RETRY_BURST)
         self.questions = Budget(ASK_BURST, ASK_BURST)
         self.latency = FIRST_LATENCY * min((band.target_us for band in settings.classes), default=1_000_000)
-        self.load_us, self.load_cap, self.loading = float(FIRST_LOAD_US), MOST_LOADS, 0
-        self.median, self.weight, self.seq = 1.0, 0.0, 0
-
-    # --- events -----------------------------------------------------------------------------------
+        self.load_us, self.load_cap = float(FIRST_LOAD_US), MOST_LOADS
+        self.median, self.weight = 1.0, 0.0
 
     def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -79,31 +62,13 @@
             self._after(SWEEP_US, self._sweep)
             if self.told.asked_discovery:
                 self._watch()
+        takers = {io.Request: self._request, io.Outcome: self._outcome}
+        takers |= {io.Loaded: self._loaded, io.Members: self._members}
         for event in events:
-            self.takers.get(type(event), self._skip)(event)
+            takers.get(type(event), self._note)(event)
         self._dispatch()
         return self.actions
 
-    def _skip(self, event: io.Event) -> None:
-        """Probes and messages of other routers are not made use of."""
-
-    def _timer(self, event: io.Timer) -> None:
-        act, args = self.timers.pop(event.token, (self._skip, (event,)))
-        act(*args)
-
-    def _left(self, event: io.Left) -> None:
-        if event.id in self.calls:
-            self._end(self.calls[event.id])
-
-    def _first(self, event: io.First) -> None:
-        if event.id in self.calls:
-            self.calls[event.id].streaming = True
-
-    def _after(self, delay: float, act: Callable[..., None], *args: object) -> None:
-        self.seq += 1
-        self.timers[self.seq] = (act, args)
-        self.actions.append(io.SetTimer(max(0, int(delay)), self.seq))
-
     def _watch(self) -> None:
         self.actions.append(io.Watch(True))
 
@@ -130,11 +95,6 @@
         if entry.state is State.GONE:
             self._forget(worker)
 
-    def _forget(self, worker: Worker) -> None:
-        worker.copies.clear()
-        for name in list(worker.coming):
-            self._arrived(worker, self.functions[name])
-
     def _request(self, request: io.Request) -> None:
         band, function = self.bands[request.band], self.functions.get(request.function)
         if function is None:
@@ -143,8 +103,8 @@
             self.functions[request.function] = function
         function.memory, function.lanes = request.memory_mb, request.lanes
         function.uses += 1
-        for rate in (function.rate, self.rates[""], self.rates.setdefault(request.tenant, Rate(RATE_US))):
-            rate.add(self.now)
+        function.rate.add(self.now)
+        self.rates.setdefault(request.tenant, Rate(RATE_US)).add(self.now)
         self.retries.earn(RETRY_SHARE)
         self.questions.earn(ASK_SHARE)
         self.taken.add(self.now)
@@ -155,34 +115,24 @@
         self._hold(call)
 
     def _over_share(self, tenant: str) -> bool:
-        """Whether a tenant asks for more than its quota at our part of the traffic."""
-        quota, total = self.quotas.get(tenant, 0.0), sum(self.quotas.values())
-        part = max(1 / self.told.routers, self.rates[""].per_us(self.now) * 1e6 / total) if total else 0.0
-        return quota > 0 and self.rates[tenant].per_us(self.now) * 1e6 > quota * part
-
-    # --- the ordinary path ------------------------------------------------------------------------
+        """Whether a tenant asks this router alone for more than its quota with all of them."""
+        quota = self.quotas.get(tenant, 0.0)
+        return 0 < quota < self.rates[tenant].per_us(self.now) * 1e6
 
     def _hold(self, call: Call) -> None:
         """Put a call in line; one bound to a group waits apart, so that it blocks nobody.
 
-        Calls that can't be in time any more and those over a tenant's share wait behind all others and
-        get only part of the caps: against overload and one tenant's burst, whatever causes them.  It
-        may hurt where a late answer is worth as much as one in time.
+        Calls that can't be in time any more and those over a tenant's quota wait behind all others:
+        against overload and one tenant's burst.  Under a lasting overload they are never served.
         """
         bound = call.bound()
         group = bound.worker.group(call.band) if bound else ""
-        if not call.held:
-            call.held = True
-            call.function.held += 1
+        call.hold()
         self.lines.setdefault((int(self._second(call)), call.function.name, group), deque()).append(call)
 
     def _second(self, call: Call) -> bool:
         return call.over_share or self.now + call.function.latency > call.aim
 
-    def _unhold(self, call: Call) -> None:
-        call.function.held -= call.held
-        call.held = False
-
     def _head(self, line: Line) -> Call | None:
         """The first call of a line that waits; late ones change line, hopeless ones are answered."""
         queue = self.lines[line]
@@ -195,7 +145,7 @@
             if call.held and line[0] == 0:
                 self._hold(call)
             elif call.held:
-                self._unhold(call)
+                call.release()
                 if not call.outstanding():
                     self._finish(call)
         del self.lines[line]
@@ -229,12 +179,12 @@
     def _choose(self, call: Call) -> tuple[Worker | None, bool]:
         """The ranking: warm first, then most of our own in flight, then the tie hash."""
         function, grow = call.function, self._may_grow(call)
-        tried, part = [a.worker for a in call.attempts if a.out], SECOND_PART if self._second(call) else 1.0
+        tried = [a.worker for a in call.attempts if a.out]
         best, best_rank = None, (False, -1, -1)
         for worker in self.workers.values():
             copies = worker.believed(function.name, self.now)
             rank = (copies > 0, worker.inflight, worker.order)
-            if rank < best_rank or worker in tried or not self._open(worker, part):
+            if rank < best_rank or worker in tried or not self._open(worker):
                 continue
             free = worker.busy.get(function.name, 0) < function.lanes * copies
             if (free if copies else grow and self._fits(worker, function)) and self._may_send(call, worker):
@@ -252,12 +202,12 @@
         fades = self.now + self.told.idle_life_us
         worker.copies[function.name] = Belief(count, function.memory, self.now, fades)
 
-    def _open(self, worker: Worker, part: float = 1.0) -> bool:
-        """Whether a worker may have room at all in that part of its cap, whatever the function."""
+    def _open(self, worker: Worker) -> bool:
+        """Whether a worker may have room at all, whatever the function."""
         if not worker.ready or self.now < max(worker.rest_until, worker.full_until):
             return False
         size = worker.entry.weight / self.weight if self.weight else 1.0
-        if worker.inflight >= max(1, int(worker.cap * size * part)):
+        if worker.inflight >= max(1, int(worker.cap * size)):
             return False
         return not self._suspect(worker) and self._warmed(worker)
 
@@ -294,7 +244,7 @@
 
     def _send(self, call: Call, worker: Worker, cold: bool) -> None:
         function, now = call.function, self.now
-        self._unhold(call)
+        call.release()
         attempt = Attempt(call, len(call.attempts), worker, now, cold)
         call.attempts.append(attempt)
         worker.begin(function.name, now)
@@ -303,8 +253,6 @@
         self.actions.append(io.Send(call.request.id, worker.entry.worker, call.deadline))
         self._after(LATE * function.latency + (function.load_us if cold else 0), self._late, attempt)
 
-    # --- outcomes and further attempts ------------------------------------------------------------
-
     def _outcome(self, event: io.Outcome) -> None:
         call = self.calls.get(event.id)
         if call is None or event.attempt >= len(call.attempts) or not call.attempts[event.attempt].out:
@@ -377,8 +325,7 @@
             return
         if not attempt.cold:
             self._timed(attempt, self.now - attempt.sent)
-        spent = call.band.effect is Effect.UNSAFE or len(call.attempts) >= told.max_attempts
-        if call.held or spent:
+        if call.held or call.band.effect is Effect.UNSAFE or len(call.attempts) >= told.max_attempts:
             return
         if not self._suspect(attempt.worker):
             self._after(LATE * call.function.latency, self._late, attempt)
@@ -396,25 +343,15 @@
         self.actions.append(io.Refuse(call.request.id, 0) if harmless else io.Fail(call.request.id))
         self._end(call)
 
-    def _end(self, call: Call) -> None:
-        call.ended = True
-        self._unhold(call)
-        if not call.outstanding():
-            self.calls.pop(call.request.id, None)
-
-    # --- copies -----------------------------------------------------------------------------------
-
     def _may_grow(self, call: Call) -> bool:
         """Whether a further copy may be loaded: one at a time unless demand shows more."""
         function = call.function
         if self.now < function.ask_until or self.loading >= int(self.load_cap):
             return False
         if function.coming:
-            many = function.held > 2 * function.lanes * function.coming
-            return many and function.coming < MOST_COMING
+            return function.coming < MOST_COMING and function.held > 2 * function.lanes * function.coming
         holders = (w for w in self.workers.values() if w.believed(function.name, self.now))
-        standing = any(not self._suspect(worker) for worker in holders)
-        return not standing or self.now - call.arrived > GROW_WAIT_US
+        return all(self._suspect(worker) for worker in holders) or self.now - call.arrived > GROW_WAIT_US
 
     def _ask(self, function: Function) -> bool:
         """Ask for standing copies before loading one: another router may have loaded it."""
@@ -437,17 +374,11 @@
         self.actions.append(io.Load(worker.entry.worker, name, 1))
         if name not in worker.coming and not worker.believed(name, self.now):
             worker.coming[name] = Belief(1, function.memory, self.now, 0)
-            function.coming += 1
-            self.loading += 1
+            function.coming, self.loading = function.coming + 1, self.loading + 1
             stall = LOAD_STALL * max(function.load_us, self.load_us)
             self._after(stall, self._load_failed, worker, function, worker.coming[name])
         return True
 
-    def _arrived(self, worker: Worker, function: Function) -> None:
-        if worker.coming.pop(function.name, None) is not None:
-            function.coming -= 1
-            self.loading -= 1
-
     def _load_failed(self, worker: Worker, function: Function, order: Belief) -> None:
         """Loads that fail or stall, anywhere: fewer at once, and not here for a while."""
         if worker.coming.get(function.name) is order:
@@ -484,9 +415,7 @@
         self.median = max(0.1, paces[len(paces) // 2]) if paces else 1.0
         self.taken.count(self.now - self.told.load_window_us)  # keeps the window short
         for worker in self.workers.values():
-            believed = list(worker.copies)
-            worker.copies = {n: worker.copies[n] for n in believed if worker.believed(n, self.now)}
-            worker.shut = {name: until for name, until in worker.shut.items() if until > self.now}
+            worker.tidy(self.now)
         for function in list(self.functions.values()):
             if self.now - function.rate.at <= KEEP_LIVES * self.told.idle_life_us:
                 if function.uses > 1 and self.told.may_load:
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from swiftwell import interface as io
@@ -119,6 +120,14 @@
     def outstanding(self) -> bool:
         return any(a.out for a in self.attempts)
 
+    def hold(self) -> None:
+        self.function.held += not self.held
+        self.held = True
+
+    def release(self) -> None:
+        self.function.held -= self.held
+        self.held = False
+
 
 @dataclass(slots=True, eq=False)
 class Function:
@@ -194,3 +203,65 @@
         self.busy[name] -= 1
         if not self.busy[name]:
             del self.busy[name]
+
+    def tidy(self, now: int) -> None:
+        """Forget what no longer holds."""
+        self.copies = {n: b for n, b in self.copies.items() if self.believed(n, now)}
+        self.shut = {name: until for name, until in self.shut.items() if until > now}
+
+
+Line = tuple[int, str, str]  # class of service (0 first), function, group that a repeat is bound to
+
+
+class Books:
+    """A router's tables and timers, and the moves between them that leave nothing to decide."""
+
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        self.told, self.seed = settings, seed  # no choice is left to chance so far: the seed is unused
+        self.bands = {band.name: band for band in settings.classes}
+        self.quotas = {tenant.name: tenant.quota_rps for tenant in settings.tenants}
+        self.workers: dict[str, Worker] = {}
+        self.functions: dict[str, Function] = {}
+        self.calls: dict[str, Call] = {}
+        self.lines: dict[Line, deque[Call]] = {}
+        self.taken, self.orders = Window(), Window()
+        self.loading = 0  # copies ordered that do not stand yet
+        self.now = 0
+        self.seq = 0  # numbers calls and timers in order
+        self.actions: list[io.Action] = []
+        self._timers: dict[int, tuple[Callable[..., None], tuple]] = {}
+
+    def _after(self, delay: float, act: Callable[..., None], *args: object) -> None:
+        """Call `act` after so many microseconds."""
+        self.seq += 1
+        self._timers[self.seq] = (act, args)
+        self.actions.append(io.SetTimer(max(0, int(delay)), self.seq))
+
+    def _note(self, event: io.Event) -> None:
+        """Events that only change the books; probes and messages of peers are not made use of."""
+        if isinstance(event, io.Timer) and event.token in self._timers:
+            act, args = self._timers.pop(event.token)
+            act(*args)
+        elif isinstance(event, io.Left) and event.id in self.calls:
+            self._end(self.calls[event.id])
+        elif isinstance(event, io.First) and event.id in self.calls:
+            self.calls[event.id].streaming = True
+
+    def _end(self, call: Call) -> None:
+        """A call has its final answer; it stays in the books while attempts are out."""
+        call.ended = True
+        call.release()
+        if not call.outstanding():
+            self.calls.pop(call.request.id, None)
+
+    def _arrived(self, worker: Worker, function: Function) -> None:
+        """An ordered copy is no longer waited for."""
+        if worker.coming.pop(function.name, None) is not None:
+            function.coming -= 1
+            self.loading -= 1
+
+    def _forget(self, worker: Worker) -> None:
+        """Drop every belief of a worker."""
+        worker.copies.clear()
+        for name in list(worker.coming):
+            self._arrived(worker, self.functions[name])
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,303 @@
+"""The design's ordinary path, the rules at their boundaries, and each failure found so far."""
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from helpers import ORDERS, PLAIN, Bench, entry, only
+
+from swiftwell import interface as io
+from swiftwell.interface import Status
+
+MODULE = Path(__file__).resolve().parent.parent / "swiftwell" / "choice.py"
+
+
+def test_module_keeps_its_limits() -> None:
+    lines = MODULE.read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 400
+    assert max(len(line) for line in lines) <= 110
+    assert "swiftwell/interface.py" in lines[0]
+
+
+# --- the ordinary path ---------------------------------------------------------------------------
+
+
+def test_packs_onto_the_worker_with_most_in_flight() -> None:
+    bench = Bench()
+    sends = [s for _ in range(3) for s in only(bench.call(), io.Send)]
+    assert len(sends) == 3
+    assert len({send.worker for send in sends}) == 1
+
+
+def test_warm_worker_comes_before_a_fuller_cold_one() -> None:
+    bench = Bench()
+    (first,) = only(bench.call("f"), io.Send)
+    bench.answer(first)
+    bench.router.workers[first.worker].inflight = 0
+    other = next(name for name in "abc" if name != first.worker)
+    bench.router.workers[other].begin("g", bench.now)
+    (again,) = only(bench.call("f"), io.Send)
+    assert again.worker == first.worker
+
+
+def test_ties_go_by_a_hash_of_worker_and_own_number() -> None:
+    chosen = set()
+    for position in range(8):
+        bench = Bench(replace(PLAIN, position=position, routers=8))
+        chosen |= {send.worker for send in only(bench.call(), io.Send)}
+        again = Bench(replace(PLAIN, position=position, routers=8), ("c", "b", "a"))
+        assert only(again.call(), io.Send)[0].worker == only(bench.all, io.Send)[0].worker
+    assert len(chosen) > 1
+
+
+def test_held_first_come_first_served_when_lanes_are_taken() -> None:
+    bench = Bench(workers=("a",))
+    (first,) = only(bench.call(lanes=1), io.Send)
+    assert bench.call(lanes=1) == [] and bench.call(lanes=1) == []
+    assert [send.id for send in only(bench.answer(first), io.Send)] == ["r2"]
+
+
+def test_a_function_without_room_blocks_no_other() -> None:
+    bench = Bench(workers=("a",))
+    bench.call("f", lanes=1)
+    assert bench.call("f", lanes=1) == []
+    assert [send.id for send in only(bench.call("g"), io.Send)] == ["r3"]
+
+
+def test_full_worker_has_no_room_until_its_next_outcome_or_a_short_timer() -> None:
+    bench = Bench(workers=("a",))
+    (first,) = only(bench.call(), io.Send)
+    assert only(bench.answer(first, Status.FULL), io.Send) == []
+    assert [send.id for send in only(bench.wait(400_000), io.Send)] == ["r1"]
+
+
+def test_miss_orders_one_copy_there_and_sends_again_when_it_stands() -> None:
+    bench = Bench(ORDERS, ("a",))
+    bench.router.questions.left = 0  # nothing is asked: the belief below is wrong
+    bench.call()
+    bench.do(io.Loaded("a", "f", Status.OK, 600_000, 1))
+    (send,) = only(bench.all, io.Send)
+    orders = only(bench.answer(send, Status.MISS), io.Load)
+    assert orders == [io.Load("a", "f", 1)]
+    sends = only(bench.do(io.Loaded("a", "f", Status.OK, 600_000, 1)), io.Send)
+    assert [(s.id, s.worker) for s in sends] == [("r1", "a")]
+
+
+def test_standing_copies_of_other_routers_are_asked_for_before_a_load() -> None:
+    bench = Bench(ORDERS)
+    assert {(a.worker, a.copies) for a in only(bench.call(), io.Load)} == {("a", 0), ("b", 0), ("c", 0)}
+    sends = only(bench.do(io.Loaded("b", "f", Status.OK, 1_000, 1)), io.Send)
+    assert [send.worker for send in sends] == ["b"]
+    assert not [order for order in only(bench.all, io.Load) if order.copies]
+
+
+def test_followers_wait_for_the_copy_that_is_coming() -> None:
+    bench = Bench(ORDERS)
+    bench.call()
+    bench.wait(40_000)
+    bench.call()
+    bench.call()
+    assert len([order for order in only(bench.all, io.Load) if order.copies]) == 1
+
+
+def test_beliefs_die_with_the_process_and_fade_with_the_idle_life() -> None:
+    bench = Bench()
+    (first,) = only(bench.call(), io.Send)
+    bench.answer(first)
+    worker = bench.router.workers[first.worker]
+    assert worker.believed("f", bench.now) == 1
+    assert worker.believed("f", bench.now + PLAIN.idle_life_us) == 0
+    bench.do(io.Members(io.ListKind.DELTA, (entry(first.worker, started=bench.now),)))
+    assert worker.believed("f", bench.now) == 0
+
+
+# --- rule 1: every request answered ---------------------------------------------------------------
+
+
+@pytest.mark.parametrize("left", [0, 1_000, 4_000, 50_000, 3_000_000])
+def test_a_call_without_workers_is_held_then_refused_before_its_deadline(left: int) -> None:
+    bench = Bench(workers=())
+    begun = bench.now
+    actions = bench.call(left=left)
+    while not only(actions, io.Refuse) and bench.now < begun + left + 10_000:
+        actions = bench.wait(2_000)
+    assert only(bench.all, io.Refuse) == [io.Refuse("r1", 0)]
+    assert bench.now <= begun + max(left, 2_000)
+
+
+def test_an_answer_after_the_end_and_a_client_gone_in_the_same_batch() -> None:
+    bench = Bench()
+    (send,) = only(bench.call(band="unsafe", left=100_000), io.Send)
+    assert only(bench.wait(100_000), io.Fail) == [io.Fail("r1")]
+    ok = io.Outcome(send.id, 0, send.worker, Status.OK, 1, True, 0, ())
+    assert bench.do(io.Left("r1"), ok, ok, io.Left("r1")) == []
+    assert bench.router.calls == {}
+    assert bench.router.workers[send.worker].inflight == 0
+
+
+def test_a_function_larger_than_any_worker_is_refused_not_lost() -> None:
+    bench = Bench(replace(ORDERS, kind_memory_mb=(("k", 0.0),)))
+    bench.call()
+    bench.wait(3_000_000)
+    assert only(bench.all, io.Refuse) == [io.Refuse("r1", 0)]
+    assert only(bench.all, io.Send) == []
+
+
+# --- rule 2: no effect twice ----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("status", [Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CANCELLED])
+def test_unsafe_is_failed_not_repeated_when_it_may_have_run(status: Status) -> None:
+    bench = Bench()
+    (send,) = only(bench.call(band="unsafe"), io.Send)
+    assert bench.answer(send, status) == [io.Fail("r1")]
+
+
+@pytest.mark.parametrize("status", [Status.FULL, Status.CONNECT_FAILED, Status.MISS, Status.MOOT])
+def test_unsafe_is_sent_again_when_it_is_known_not_to_have_run(status: Status) -> None:
+    bench = Bench()
+    (send,) = only(bench.call(band="unsafe"), io.Send)
+    bench.answer(send, status)
+    bench.wait(500_000)
+    assert [s.id for s in only(bench.all, io.Send)] == ["r1", "r1"]
+
+
+def test_keyed_is_repeated_only_in_its_cell_and_while_it_is_remembered() -> None:
+    bench = Bench(workers=(entry("a", cell=1), entry("b", cell=2)))
+    (send,) = only(bench.call(band="keyed"), io.Send)
+    bench.answer(send, Status.ERROR)
+    bench.wait(2_500_000)
+    repeats = only(bench.all, io.Send)[1:]
+    assert {repeat.worker for repeat in repeats} <= {send.worker}
+    bench = Bench(workers=(entry("a", cell=1),))
+    (send,) = only(bench.call(band="keyed"), io.Send)
+    bench.wait(1_997_000)
+    bench.answer(send, Status.ERROR)
+    assert len(only(bench.all, io.Send)) == 1
+
+
+# --- rules 3 to 5 ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("state", [io.State.DRAINING, io.State.GONE])
+def test_nothing_new_goes_to_a_worker_that_drains_or_is_gone(state: io.State) -> None:
+    bench = Bench(ORDERS, ("a",))
+    bench.call()
+    bench.do(io.Loaded("a", "f", Status.OK, 600_000, 1), io.Members(io.ListKind.DELTA, (entry("a", state),)))
+    bench.all.clear()
+    bench.call()
+    bench.wait(3_000_000)
+    assert not only(bench.all, io.Send)
+    assert not [order for order in only(bench.all, io.Load) if order.copies]
+
+
+def test_a_worker_missing_from_a_full_list_is_gone_and_a_failed_update_changes_nothing() -> None:
+    bench = Bench()
+    bench.do(io.Members(io.ListKind.FAILED, ()))
+    assert all(worker.ready for worker in bench.router.workers.values())
+    bench.do(io.Members(io.ListKind.FULL, (entry("b"),)))
+    assert [name for name, worker in bench.router.workers.items() if worker.ready] == ["b"]
+
+
+def test_a_cold_worker_gets_our_part_of_what_the_slowest_warm_up_allows() -> None:
+    bench = Bench(replace(PLAIN, routers=2), (entry("a", started=1_000_000),))
+    bench.router.latency = 100_000.0
+    for _ in range(40):
+        for send in only(bench.call(), io.Send):
+            bench.answer(send, us=100_000)
+    # 3 x 0.2 of one core at 0.1 s a call for 1 s, over 2 routers
+    assert len(only(bench.all, io.Send)) == 3
+
+
+def test_every_order_counts_against_the_ration_in_a_sliding_window() -> None:
+    ration = replace(ORDERS, load_free=2.0, load_share=0.0, load_window_us=5_000_000)
+    bench = Bench(ration)
+    bench.router.questions.left = 0
+    for name in "fghij":
+        bench.router.questions.left = 0
+        bench.call(name, left=4_000_000)
+    first = bench.now
+    assert [load.function for load in only(bench.all, io.Load)] == ["f", "g"]
+    bench.wait(3_900_000)
+    assert len([load for load in only(bench.all, io.Load) if load.copies]) == 2
+    while bench.now <= first + 5_000_000:
+        bench.router.questions.left = 0
+        bench.call("k")
+        assert len([load for load in only(bench.all, io.Load) if load.copies]) == 2
+        bench.wait(100_000)
+    bench.wait(600_000)
+    assert len([load for load in only(bench.all, io.Load) if load.copies]) > 2
+
+
+# --- failures found -------------------------------------------------------------------------------
+
+
+def test_a_hung_worker_has_no_room_and_a_safe_call_goes_elsewhere() -> None:
+    bench = Bench()
+    (first,) = only(bench.call(), io.Send)
+    bench.wait(2_000_000)
+    assert {s.worker for s in only(bench.all, io.Send)[1:]}.isdisjoint({first.worker})
+    assert len(only(bench.all, io.Send)) > 1
+    assert only(bench.call("g"), io.Send)[0].worker != first.worker
+
+
+def test_a_fleet_slow_as_a_whole_still_serves() -> None:
+    bench = Bench()
+    for _ in range(30):
+        for send in only(bench.call(), io.Send):
+            bench.wait(1_500_000)
+            bench.answer(send, us=1_500_000)
+    bench.wait(1_000_000)
+    assert only(bench.call(), io.Send)
+
+
+def test_a_cap_falls_when_answers_are_slow_and_grows_back() -> None:
+    bench = Bench(workers=("a",))
+    worker = bench.router.workers["a"]
+    for _ in range(20):
+        for send in only(bench.call(), io.Send):
+            bench.answer(send, us=1_200_000)
+        bench.wait(1_100_000)
+    assert worker.cap == 1.0
+    for _ in range(60):
+        bench.wait(1_100_000)
+        for send in only(bench.call(), io.Send):
+            bench.answer(send, us=50_000)
+    assert worker.cap > 1.0
+
+
+def test_a_busy_router_alone_does_not_run_out_of_room() -> None:
+    bench = Bench(replace(PLAIN, routers=5), tuple("abcdefgh"))
+    for _ in range(24):
+        bench.call(lanes=8)
+        bench.wait(110_000)
+    assert len(only(bench.all, io.Send)) == 24
+
+
+def test_loads_that_fail_are_made_fewer_and_recover() -> None:
+    bench = Bench(ORDERS)
+    bench.router.questions.left = 0
+    bench.call("f")
+    (order,) = only(bench.all, io.Load)
+    before = bench.router.load_cap
+    bench.do(io.Loaded(order.worker, "f", Status.ERROR, 600_000, 0))
+    assert bench.router.load_cap == before / 2
+    for _ in range(10):
+        bench.wait(2_000_000)
+        bench.call("f")
+        order = only(bench.all, io.Load)[-1]
+        bench.do(io.Loaded(order.worker, "f", Status.OK, 600_000, 1))
+        bench.router.workers[order.worker].copies.clear()
+    assert bench.router.load_cap > before / 2
+
+
+def test_state_does_not_grow_with_functions_called_once() -> None:
+    bench = Bench(ORDERS)
+    for number in range(200):
+        bench.call(f"once{number}", left=50_000)
+        bench.wait(100_000)
+    bench.wait(40_000_000)
+    router = bench.router
+    assert (router.calls, router.functions, router.lines) == ({}, {}, {})
+    assert len(router._timers) <= 2
+    assert all(len(w.copies) + len(w.shut) + len(w.sends.times) == 0 for w in router.workers.values())
