--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -18,7 +18,7 @@
 
 FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
 CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
-CAP_AIM = 0.35  # of a class's wanted time: outcomes that take longer lower the cap
+CAP_AIM = 0.25  # of a class's wanted time: outcomes that take longer lower the cap
 FIRST_LATENCY = 0.25  # of the class's wanted time: a call's time before any outcome has told one
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
--- /dev/null
+++ b/tests/test_readme.py
@@ -0,0 +1,18 @@
+"""The README's example runs as printed."""
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def test_the_example_prints_what_the_readme_says() -> None:
+    text = (ROOT / "README.md").read_text()
+    code = re.search(r"```python\n(.*?)```", text, re.DOTALL)
+    said = re.search(r"It prints `(.*?)`", text)
+    done = subprocess.run(
+        [sys.executable, "-c", code[1]], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == said[1]
