--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -1,8 +1,8 @@
 """Every decision of a swiftwell router; its types are in swiftwell/interface.py, its books in records.py.
 
-Punica's rule (5.1): a request goes to the worker that holds most of our own in-flight requests and
-has room, warm workers first; when none has room it is held, first come first served.  Everything
-else here narrows who has room, or answers what a rule of the operators asks.
+Punica's rule (5.1): a request goes to the worker that holds most of our own in-flight requests and has room,
+warm workers first; when none has room it is held, first come first served.  Everything else here narrows who
+has room, or answers what a rule of the operators asks.
 """
 
 from __future__ import annotations
@@ -18,7 +18,8 @@
 
 FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
 CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
-CAP_AIM = 0.25  # of a class's wanted time: outcomes that take longer lower the cap
+CAP_AIM, CAP_MOST = 0.25, 0.5  # of a class's wanted time: the least and most that CROWDED may come to
+CROWDED, CALM_UP = 3.5, 0.02  # times a function's calm time: longer outcomes lower the cap; how calm rises
 FIRST_LATENCY = 0.25  # of the class's wanted time: a call's time before any outcome has told one
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
@@ -49,7 +50,6 @@
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.rates: dict[str, Rate] = {}  # of each tenant's calls
         self.retries = Budget(RETRY_BURST, RETRY_BURST)
         self.questions = Budget(ASK_BURST, ASK_BURST)
         self.latency = FIRST_LATENCY * min((band.target_us for band in settings.classes), default=1_000_000)
@@ -99,26 +99,24 @@
         band, function = self.bands[request.band], self.functions.get(request.function)
         if function is None:
             latency, load = FIRST_LATENCY * band.target_us, request.load_us or self.load_us
-            function = Function(request.function, 0.0, 1, latency, load, Rate(RATE_US))
+            function = Function(request.function, 0.0, 1, latency, latency, load, Rate(RATE_US))
             self.functions[request.function] = function
         function.memory, function.lanes = request.memory_mb, request.lanes
         function.uses += 1
         function.rate.add(self.now)
-        self.rates.setdefault(request.tenant, Rate(RATE_US)).add(self.now)
+        rate = self.rates.setdefault(request.tenant, Rate(RATE_US))
+        rate.add(self.now)
+        # Over its whole quota with this router alone: the others' traffic is not known, so no less is proof.
+        over_share = 0 < self.quotas.get(request.tenant, 0.0) < rate.per_us(self.now) * 1e6
         self.retries.earn(RETRY_SHARE)
         self.questions.earn(ASK_SHARE)
         self.taken.add(self.now)
-        call = Call(request, band, function, self.seq, self.now, self._over_share(request.tenant))
+        call = Call(request, band, function, self.seq, self.now, over_share)
         self.calls[request.id] = call
         # Two ticks early: timers land on the next tick, and the answer must precede the deadline.
         self._after(request.left_us - 2 * self.told.tick_us, self._finish, call)
         self._hold(call)
 
-    def _over_share(self, tenant: str) -> bool:
-        """Whether a tenant asks this router alone for more than its quota with all of them."""
-        quota = self.quotas.get(tenant, 0.0)
-        return 0 < quota < self.rates[tenant].per_us(self.now) * 1e6
-
     def _hold(self, call: Call) -> None:
         """Put a call in line; one bound to a group waits apart, so that it blocks nobody.
 
@@ -128,18 +126,15 @@
         bound = call.bound()
         group = bound.worker.group(call.band) if bound else ""
         call.hold()
-        self.lines.setdefault((int(self._second(call)), call.function.name, group), deque()).append(call)
-
-    def _second(self, call: Call) -> bool:
-        return call.over_share or self.now + call.function.latency > call.aim
+        second = call.over_share or self.now + call.function.latency > call.aim
+        self.lines.setdefault((int(second), call.function.name, group), deque()).append(call)
 
     def _head(self, line: Line) -> Call | None:
         """The first call of a line that waits; late ones change line, hopeless ones are answered."""
         queue = self.lines[line]
         while queue:
             call = queue[0]
-            usual = call.function.latency
-            if call.held and self.now + usual <= (call.deadline if line[0] else call.aim):
+            if call.held and self.now + call.function.latency <= (call.deadline if line[0] else call.aim):
                 return call
             queue.popleft()
             if call.held and line[0] == 0:
@@ -153,8 +148,9 @@
 
     def _dispatch(self) -> None:
         """Place held calls, oldest first; a function that finds no room blocks only itself."""
-        heads = []
-        for line in sorted(self.lines):
+        self.room = [worker for worker in self.workers.values() if self._open(worker)]
+        heads = []  # when nobody has room no line is looked through: long queues cost no time
+        for line in sorted(self.lines) if self.room else ():
             if call := self._head(line):
                 heads.append((line[0], call.seq, line))
         heapq.heapify(heads)
@@ -174,6 +170,8 @@
         if may_load and (self._ask(function) or self._order(worker, function) or self.told.misses):
             return False
         self._send(call, worker, not warm)
+        if not self._open(worker):
+            self.room.remove(worker)
         return True
 
     def _choose(self, call: Call) -> tuple[Worker | None, bool]:
@@ -181,13 +179,13 @@
         function, grow = call.function, self._may_grow(call)
         tried = [a.worker for a in call.attempts if a.out]
         best, best_rank = None, (False, -1, -1)
-        for worker in self.workers.values():
+        for worker in self.room:
             copies = worker.believed(function.name, self.now)
             rank = (copies > 0, worker.inflight, worker.order)
-            if rank < best_rank or worker in tried or not self._open(worker):
+            if rank < best_rank or not (copies or grow) or worker in tried:
                 continue
             free = worker.busy.get(function.name, 0) < function.lanes * copies
-            if (free if copies else grow and self._fits(worker, function)) and self._may_send(call, worker):
+            if (free if copies else self._fits(worker, function)) and self._may_send(call, worker):
                 best, best_rank = worker, rank
         return best, best_rank[0]
 
@@ -243,11 +241,11 @@
         return self.now < bound.sent + call.band.memory_us - 2 * self.told.tick_us
 
     def _send(self, call: Call, worker: Worker, cold: bool) -> None:
-        function, now = call.function, self.now
+        function = call.function
         call.release()
-        attempt = Attempt(call, len(call.attempts), worker, now, cold)
+        attempt = Attempt(call, len(call.attempts), worker, self.now, cold)
         call.attempts.append(attempt)
-        worker.begin(function.name, now)
+        worker.begin(function.name, self.now)
         if cold:
             self._believe(worker, function, 1)
         self.actions.append(io.Send(call.request.id, worker.entry.worker, call.deadline))
@@ -279,8 +277,7 @@
                 if not attempt.cold and event.note & 7 in (0, 1):
                     self._timed(attempt, event.latency_us)
             case Status.FULL:
-                worker.full_until = now + FULL_US
-                worker.cap = max(1.0, worker.cap - 1)
+                worker.full_until, worker.cap = now + FULL_US, max(1.0, worker.cap - 1)
             case Status.MISS:
                 worker.copies.pop(function.name, None)
             case Status.RESET | Status.CONNECT_FAILED:
@@ -298,7 +295,12 @@
         worker.trial_at = self.now + TRIAL_US
         call.function.latency *= 1 + LEARN * (ratio - 1)
         self.latency += LEARN * (min(latency, LATE * self.latency) - self.latency)
-        step = CAP_STEP * max(-2.0, 1 - latency / (CAP_AIM * call.band.target_us))
+        calm, target = call.function.calm, call.band.target_us
+        call.function.calm += (LEARN if latency < calm else CALM_UP) * (min(latency, LATE * calm) - calm)
+        aim = min(
+            CAP_MOST * target, max(CAP_AIM * target, CROWDED * calm)
+        )  # tight targets starved idle workers
+        step = CAP_STEP * max(-2.0, 1 - latency / aim)
         if step < 0 or worker.inflight + 2 > worker.cap:  # only a cap in use grows
             worker.cap = min(MOST_CAP, max(1.0, worker.cap + step))
 
@@ -351,7 +353,7 @@
         if function.coming:
             return function.coming < MOST_COMING and function.held > 2 * function.lanes * function.coming
         holders = (w for w in self.workers.values() if w.believed(function.name, self.now))
-        return all(self._suspect(worker) for worker in holders) or self.now - call.arrived > GROW_WAIT_US
+        return self.now - call.arrived > GROW_WAIT_US or all(self._suspect(worker) for worker in holders)
 
     def _ask(self, function: Function) -> bool:
         """Ask for standing copies before loading one: another router may have loaded it."""
@@ -416,19 +418,18 @@
         self.taken.count(self.now - self.told.load_window_us)  # keeps the window short
         for worker in self.workers.values():
             worker.tidy(self.now)
+        ranked = sorted(filter(self._open, self.workers.values()), key=lambda w: (-w.inflight, -w.order))
         for function in list(self.functions.values()):
             if self.now - function.rate.at <= KEEP_LIVES * self.told.idle_life_us:
                 if function.uses > 1 and self.told.may_load:
-                    self._tend(function)
+                    self._tend(function, ranked)
             elif not (function.held or function.coming):
                 del self.functions[function.name]
 
-    def _tend(self, function: Function) -> None:
+    def _tend(self, function: Function, ranked: list[Worker]) -> None:
         """Renew the copies that demand needs before they fade, and order one more where it lacks."""
         at_work = function.rate.per_us(self.now) * function.latency
-        wanted = max(1, math.ceil(HEADROOM * at_work / function.lanes))
-        ranked = sorted(self.workers.values(), key=lambda w: (w.inflight, w.order), reverse=True)
-        ranked, standing = [w for w in ranked if self._open(w)], function.coming
+        wanted, standing = max(1, math.ceil(HEADROOM * at_work / function.lanes)), function.coming
         for worker in ranked:
             if copies := worker.believed(function.name, self.now):
                 soon = worker.copies[function.name].fades - self.now < 2 * self.load_us
@@ -436,6 +437,6 @@
                     self._believe(worker, function, copies)
                 standing += copies
         if standing < wanted and not function.coming and self.loading < int(self.load_cap):
-            cold = [w for w in ranked if not w.believed(function.name, self.now) and self._fits(w, function)]
-            if cold:
-                self._order(cold[0], function)
+            cold = (w for w in ranked if not w.believed(function.name, self.now) and self._fits(w, function))
+            if worker := next(cold, None):
+                self._order(worker, function)
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -137,6 +137,7 @@
     memory: float
     lanes: int
     latency: float
+    calm: float
     load_us: float
     rate: Rate
     uses: int = 0
@@ -220,6 +221,8 @@
         self.told, self.seed = settings, seed  # no choice is left to chance so far: the seed is unused
         self.bands = {band.name: band for band in settings.classes}
         self.quotas = {tenant.name: tenant.quota_rps for tenant in settings.tenants}
+        self.rates: dict[str, Rate] = {}  # of each tenant's calls
+        self.room: list[Worker] = []  # workers that may have room, in this batch
         self.workers: dict[str, Worker] = {}
         self.functions: dict[str, Function] = {}
         self.calls: dict[str, Call] = {}
