--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -18,8 +18,7 @@
 
 FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
 CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
-CAP_AIM, CAP_MOST = 0.25, 0.5  # of a class's wanted time: the least and most that CROWDED may come to
-CROWDED, CALM_UP = 3.5, 0.02  # times a function's calm time: longer outcomes lower the cap; how calm rises
+CAP_AIM = 0.25  # of a class's wanted time: outcomes that take longer lower the cap
 FIRST_LATENCY = 0.25  # of the class's wanted time: a call's time before any outcome has told one
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
@@ -99,7 +98,7 @@
         band, function = self.bands[request.band], self.functions.get(request.function)
         if function is None:
             latency, load = FIRST_LATENCY * band.target_us, request.load_us or self.load_us
-            function = Function(request.function, 0.0, 1, latency, latency, load, Rate(RATE_US))
+            function = Function(request.function, 0.0, 1, latency, load, Rate(RATE_US))
             self.functions[request.function] = function
         function.memory, function.lanes = request.memory_mb, request.lanes
         function.uses += 1
@@ -295,12 +294,7 @@
         worker.trial_at = self.now + TRIAL_US
         call.function.latency *= 1 + LEARN * (ratio - 1)
         self.latency += LEARN * (min(latency, LATE * self.latency) - self.latency)
-        calm, target = call.function.calm, call.band.target_us
-        call.function.calm += (LEARN if latency < calm else CALM_UP) * (min(latency, LATE * calm) - calm)
-        aim = min(
-            CAP_MOST * target, max(CAP_AIM * target, CROWDED * calm)
-        )  # tight targets starved idle workers
-        step = CAP_STEP * max(-2.0, 1 - latency / aim)
+        step = CAP_STEP * max(-2.0, 1 - latency / (CAP_AIM * call.band.target_us))
         if step < 0 or worker.inflight + 2 > worker.cap:  # only a cap in use grows
             worker.cap = min(MOST_CAP, max(1.0, worker.cap + step))
 
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -137,7 +137,6 @@
     memory: float
     lanes: int
     latency: float
-    calm: float
     load_us: float
     rate: Rate
     uses: int = 0
