--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -16,11 +16,7 @@
 from swiftwell.interface import Effect, ListKind, State, Status
 from swiftwell.records import Attempt, Belief, Books, Budget, Call, Function, Line, Rate, Worker, listed
 
-LEAST_CAP, FIRST_CAP, MOST_CAP = (
-    2.0,
-    4.0,
-    16.0,
-)  # requests of ours in flight at a worker: bounds, and at first
+FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
 CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
 CAP_AIM = 0.25  # of a class's wanted time: outcomes that take longer lower the cap
 FIRST_LATENCY = 0.25  # of the class's wanted time: a call's time before any outcome has told one
@@ -280,7 +276,7 @@
                 if not attempt.cold and event.note & 7 in (0, 1):
                     self._timed(attempt, event.latency_us)
             case Status.FULL:
-                worker.full_until, worker.cap = now + FULL_US, max(LEAST_CAP, worker.cap - 1)
+                worker.full_until, worker.cap = now + FULL_US, max(1.0, worker.cap - 1)
             case Status.MISS:
                 worker.copies.pop(function.name, None)
             case Status.RESET | Status.CONNECT_FAILED:
@@ -300,7 +296,7 @@
         self.latency += LEARN * (min(latency, LATE * self.latency) - self.latency)
         step = CAP_STEP * max(-2.0, 1 - latency / (CAP_AIM * call.band.target_us))
         if step < 0 or worker.inflight + 2 > worker.cap:  # only a cap in use grows
-            worker.cap = min(MOST_CAP, max(LEAST_CAP, worker.cap + step))
+            worker.cap = min(MOST_CAP, max(1.0, worker.cap + step))
 
     def _rest(self, worker: Worker) -> None:
         worker.rest_until = self.now + (REST_US << min(worker.failures, REST_DOUBLINGS))
