--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -430,7 +430,7 @@
                 if standing < wanted and soon and self._order(worker, function):
                     self._believe(worker, function, copies)
                 standing += copies
-        if standing < wanted and function.coming < MOST_COMING and self.loading < int(self.load_cap):
+        if standing < wanted and not function.coming and self.loading < int(self.load_cap):
             cold = (w for w in ranked if not w.believed(function.name, self.now) and self._fits(w, function))
             if worker := next(cold, None):
                 self._order(worker, function)
