--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -301,3 +301,19 @@
     assert (router.calls, router.functions, router.lines) == ({}, {}, {})
     assert len(router._timers) <= 2
     assert all(len(w.copies) + len(w.shut) + len(w.sends.times) == 0 for w in router.workers.values())
+
+
+def test_held_calls_are_not_looked_through_when_no_worker_has_room() -> None:
+    bench = Bench(workers=("a",))
+    bench.router.workers["a"].rest_until = bench.now + 10_000_000
+    for number in range(50):
+        bench.call(f"f{number}")
+    looked: list[str] = []
+    choose = bench.router._choose
+    bench.router._choose = lambda call: (looked.append(call.request.id), choose(call))[1]
+    bench.wait(100_000)
+    bench.call("more")
+    assert looked == []
+    bench.router.workers["a"].rest_until = 0
+    bench.call("more")
+    assert "r1" in looked
