--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -31,17 +31,19 @@
 REST_DOUBLINGS = 4  # doublings of the rest at most: a worker back again is tried within 4 s
 FULL_US = 100_000  # us a worker counts as full when no outcome comes sooner
 RETRY_SHARE, RETRY_BURST = 0.1, 10.0  # further attempts per call taken, and saved up at most
-ASK_SHARE, ASK_BURST = 1.5, 60.0  # questions per call taken, and saved up at most
-ASK_WAIT_US = 25_000  # us a call waits for the answers to a question; far less than a load
 GROW_WAIT_US = 100_000  # us a call waits for a lane before a further copy is ordered
-MOST_COMING = 3  # copies of one function under way at once, when many of its calls are held
 HEADROOM = 2.0  # lanes wanted for each call at work: arrivals are uneven
-RATE_US = 3_000_000  # us over which arrivals are averaged
-KEEP_LIVES = 2  # idle lives for which a function called again is kept loaded
+RATE_US = 10_000_000  # us over which arrivals are averaged: long enough for routers with few calls
+DOUBT = 1.0  # standard deviations taken off a function's count of calls before it spreads
+KEEP_LIVES = 2  # idle lives after its last call for which a function is remembered
 MOST_LOADS = 6.0  # loads of ours under way at once; halves when loads fail or stall
 FOUND_US = 50_000  # us: an order answered sooner found its copies standing, and tells no load time
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
-SWEEP_US = 250_000  # us between looks at paces, at copies to renew and at demand
+SWEEP_US = 1_000_000  # us between looks at paces and at what can be forgotten
+
+
+def _hash(text: str) -> int:
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
 class Router(Books):
@@ -50,10 +52,11 @@
     def __init__(self, settings: io.Settings, seed: int) -> None:
         super().__init__(settings, seed)
         self.retries = Budget(RETRY_BURST, RETRY_BURST)
-        self.questions = Budget(ASK_BURST, ASK_BURST)
         self.latency = FIRST_LATENCY * min((band.target_us for band in settings.classes), default=1_000_000)
         self.load_us, self.load_cap = float(FIRST_LOAD_US), MOST_LOADS
-        self.median, self.weight = 1.0, 0.0
+        self.median, self.weight, self.listing = 1.0, 0.0, 0
+        self.ready: list[Worker] = []
+        self.traffic = Rate(RATE_US)
 
     def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -77,16 +80,18 @@
             return
         for entry in listed(event, [worker.entry for worker in self.workers.values()]):
             self._entry(entry)
-        weights = [w.entry.weight for w in self.workers.values() if w.ready]
+        self.listing += 1
+        self.ready = [worker for worker in self.workers.values() if worker.ready]
+        weights = [w.entry.weight for w in self.ready]
         self.weight = sum(weights) / len(weights) if self.told.sized_weights and weights else 0.0
 
     def _entry(self, entry: io.WorkerEntry) -> None:
         worker = self.workers.get(entry.worker)
         if worker is None:
-            key = f"{entry.worker}/{self.told.position}".encode()
-            order = int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "big")
+            order = _hash(f"{entry.worker}/{self.told.position}")
             memory = dict(self.told.kind_memory_mb).get(entry.kind, math.inf)
-            worker = self.workers[entry.worker] = Worker(entry, order, memory, FIRST_CAP)
+            worker = Worker(entry, _hash(entry.worker), order, memory, FIRST_CAP)
+            self.workers[entry.worker] = worker
         elif entry.started_us != worker.entry.started_us:  # beliefs die with the process
             self._forget(worker)
             worker.failures, worker.rest_until, worker.pace, worker.cap = 0, 0, self.median, FIRST_CAP
@@ -98,17 +103,17 @@
         band, function = self.bands[request.band], self.functions.get(request.function)
         if function is None:
             latency, load = FIRST_LATENCY * band.target_us, request.load_us or self.load_us
-            function = Function(request.function, 0.0, 1, latency, load, Rate(RATE_US))
+            name = request.function
+            function = Function(name, _hash(name), 0.0, 1, latency, load, Rate(RATE_US))
             self.functions[request.function] = function
         function.memory, function.lanes = request.memory_mb, request.lanes
-        function.uses += 1
         function.rate.add(self.now)
+        self.traffic.add(self.now)
         rate = self.rates.setdefault(request.tenant, Rate(RATE_US))
         rate.add(self.now)
         # Over its whole quota with this router alone: the others' traffic is not known, so no less is proof.
         over_share = 0 < self.quotas.get(request.tenant, 0.0) < rate.per_us(self.now) * 1e6
         self.retries.earn(RETRY_SHARE)
-        self.questions.earn(ASK_SHARE)
         self.taken.add(self.now)
         call = Call(request, band, function, self.seq, self.now, over_share)
         self.calls[request.id] = call
@@ -147,9 +152,8 @@
 
     def _dispatch(self) -> None:
         """Place held calls, oldest first; a function that finds no room blocks only itself."""
-        self.room = [worker for worker in self.workers.values() if self._open(worker)]
-        heads = []  # when nobody has room no line is looked through: long queues cost no time
-        for line in sorted(self.lines) if self.room else ():
+        heads = []
+        for line in sorted(self.lines):
             if call := self._head(line):
                 heads.append((line[0], call.seq, line))
         heapq.heapify(heads)
@@ -161,51 +165,95 @@
                     heapq.heappush(heads, (line[0], call.seq, line))
 
     def _place(self, call: Call) -> bool:
-        """Send a call to the worker chosen for it, or order a copy there and go on holding."""
-        worker, warm = self._choose(call)
-        if worker is None:
-            return False
-        function, may_load = call.function, self.told.may_load and not warm
-        if may_load and (self._ask(function) or self._order(worker, function) or self.told.misses):
+        """Send a call to the worker chosen for it, or order a copy at a seat and go on holding."""
+        function, seats = call.function, self._seats(call)
+        worker, warm = self._choose(call, seats)
+        if worker and not warm:
+            ordered = self.told.may_load and (function.coming or self._order(worker, function))
+            if ordered or self.told.misses:  # meanwhile a copy elsewhere may serve
+                worker, warm = self._choose(call, self._holders(function))
+        if worker is None or (self.told.misses and self.told.may_load and not warm):
             return False
         self._send(call, worker, not warm)
-        if not self._open(worker):
-            self.room.remove(worker)
         return True
 
-    def _choose(self, call: Call) -> tuple[Worker | None, bool]:
+    def _choose(self, call: Call, workers: list[Worker]) -> tuple[Worker | None, bool]:
         """The ranking: warm first, then most of our own in flight, then the tie hash."""
-        function, grow = call.function, self._may_grow(call)
+        function = call.function
         tried = [a.worker for a in call.attempts if a.out]
         best, best_rank = None, (False, -1, -1)
-        for worker in self.room:
+        for worker in workers:
             copies = worker.believed(function.name, self.now)
             rank = (copies > 0, worker.inflight, worker.order)
-            if rank < best_rank or not (copies or grow) or worker in tried:
+            if rank < best_rank or worker in tried or not self._open(worker):
                 continue
             free = worker.busy.get(function.name, 0) < function.lanes * copies
             if (free if copies else self._fits(worker, function)) and self._may_send(call, worker):
                 best, best_rank = worker, rank
         return best, best_rank[0]
 
+    def _holders(self, function: Function) -> list[Worker]:
+        """The workers believed to hold a copy; what has faded is dropped."""
+        function.holders = {n: w for n, w in function.holders.items() if w.believed(function.name, self.now)}
+        return list(function.holders.values())
+
+    def _seats(self, call: Call) -> list[Worker]:
+        """The few workers where a function of ours may have room: our seats among its homes.
+
+        A function's homes are the first workers of an order that all routers share, as many as its part of
+        our calls is of the fleet, so that routers which never talk meet at the same copies.  Of these we
+        take as many as our own calls need, by the tie hash.  A home that is not fit passes its place on.
+        """
+        function = call.function
+        if function.listing != self.listing:
+            function.listing, function.order = self.listing, self._shared_order(function)
+        at_work = function.rate.per_us(self.now) * function.latency
+        lanes = HEADROOM * at_work / function.lanes
+        need = max(1, math.ceil(lanes)) + (self.now - call.arrived > GROW_WAIT_US)
+        calls = function.rate.total
+        part = max(0.0, calls - DOUBT * math.sqrt(calls)) / max(1.0, self.traffic.per_us(self.now) * RATE_US)
+        homes, most = [], min(part * len(function.order), lanes * self.told.routers)
+        count = max(need, math.ceil(most))
+        for worker in function.order:
+            if self._fit(worker):
+                homes.append(worker)
+                if len(homes) == count:
+                    break
+        return heapq.nlargest(need, homes, key=lambda worker: worker.order)
+
+    def _shared_order(self, function: Function) -> list[Worker]:
+        """All routers' order of the workers for a function; larger workers come early more often."""
+        scored = []
+        for worker in self.ready:
+            mixed = ((worker.key ^ function.key) * 0x9E3779B97F4A7C15 >> 11) & (2**52 - 1)
+            scored.append((-math.log((mixed + 1) / 2**52) / self._size(worker), worker.key, worker))
+        return [worker for _, _, worker in sorted(scored, key=lambda item: item[:2])]
+
+    def _size(self, worker: Worker) -> float:
+        return max(0.01, worker.entry.weight / self.weight) if self.weight else 1.0
+
     def _fits(self, worker: Worker, function: Function) -> bool:
         """Cold room: memory for one more copy in our own account, and none coming or just failed."""
         if function.name in worker.coming or self.now < worker.shut.get(function.name, 0):
             return False
+        if self.loading >= int(self.load_cap):
+            return False
         return worker.memory_used(self.now) + function.memory <= worker.memory
 
     def _believe(self, worker: Worker, function: Function, count: int) -> None:
         """A belief rests on a send or an answer and fades past the told idle life."""
         fades = self.now + self.told.idle_life_us
         worker.copies[function.name] = Belief(count, function.memory, self.now, fades)
+        function.holders[worker.entry.worker] = worker
 
     def _open(self, worker: Worker) -> bool:
         """Whether a worker may have room at all, whatever the function."""
+        return worker.inflight < max(1, int(worker.cap * self._size(worker))) and self._fit(worker)
+
+    def _fit(self, worker: Worker) -> bool:
+        """Whether nothing but its own calls keeps a worker from having room."""
         if not worker.ready or self.now < max(worker.rest_until, worker.full_until):
             return False
-        size = worker.entry.weight / self.weight if self.weight else 1.0
-        if worker.inflight >= max(1, int(worker.cap * size)):
-            return False
         return not self._suspect(worker) and self._warmed(worker)
 
     def _suspect(self, worker: Worker) -> bool:
@@ -339,27 +387,6 @@
         self.actions.append(io.Refuse(call.request.id, 0) if harmless else io.Fail(call.request.id))
         self._end(call)
 
-    def _may_grow(self, call: Call) -> bool:
-        """Whether a further copy may be loaded: one at a time unless demand shows more."""
-        function = call.function
-        if self.now < function.ask_until or self.loading >= int(self.load_cap):
-            return False
-        if function.coming:
-            return function.coming < MOST_COMING and function.held > 2 * function.lanes * function.coming
-        holders = (w for w in self.workers.values() if w.believed(function.name, self.now))
-        return self.now - call.arrived > GROW_WAIT_US or all(self._suspect(worker) for worker in holders)
-
-    def _ask(self, function: Function) -> bool:
-        """Ask for standing copies before loading one: another router may have loaded it."""
-        ready = [name for name, worker in self.workers.items() if worker.ready]
-        if self.now < function.ask_again or not self.questions.spend(len(ready)):
-            return False
-        function.ask_again = self.now + self.told.idle_life_us // 2
-        function.asking, function.ask_until = len(ready), self.now + ASK_WAIT_US
-        self.actions += [io.Load(name, function.name, 0) for name in ready]
-        self._after(ASK_WAIT_US, lambda: None)  # a batch then, to place those who waited
-        return True
-
     def _order(self, worker: Worker, function: Function) -> bool:
         """Order a copy, within the ration (rule 5): every order counts, in a sliding window."""
         told, name, since = self.told, function.name, self.now - self.told.load_window_us
@@ -389,10 +416,6 @@
         coming, stand = worker.coming.get(function.name), event.copies > 0
         if stand:
             self._believe(worker, function, event.copies)
-        if function.asking and not (coming and stand):
-            function.asking -= 1
-            if stand or not function.asking:
-                function.ask_until = self.now
         if coming and event.status is not Status.OK:
             self._load_failed(worker, function, coming)
             if event.status in (Status.RESET, Status.CONNECT_FAILED):
@@ -405,32 +428,14 @@
                 function.load_us += LEARN * (event.latency_us - function.load_us)
 
     def _sweep(self) -> None:
-        """Now and then: the fleet's median pace, and copies to renew, to add or to forget."""
+        """Now and then: the fleet's median pace, and what can be forgotten."""
         self._after(SWEEP_US, self._sweep)
-        paces = sorted(worker.pace for worker in self.workers.values() if worker.ready)
+        paces = sorted(worker.pace for worker in self.ready)
         self.median = max(0.1, paces[len(paces) // 2]) if paces else 1.0
         self.taken.count(self.now - self.told.load_window_us)  # keeps the window short
         for worker in self.workers.values():
             worker.tidy(self.now)
-        ranked = sorted(filter(self._open, self.workers.values()), key=lambda w: (-w.inflight, -w.order))
         for function in list(self.functions.values()):
-            if self.now - function.rate.at <= KEEP_LIVES * self.told.idle_life_us:
-                if function.uses > 1 and self.told.may_load:
-                    self._tend(function, ranked)
-            elif not (function.held or function.coming):
+            idle = self.now - function.rate.at > KEEP_LIVES * self.told.idle_life_us
+            if idle and not (function.held or function.coming):
                 del self.functions[function.name]
-
-    def _tend(self, function: Function, ranked: list[Worker]) -> None:
-        """Renew the copies that demand needs before they fade, and order one more where it lacks."""
-        at_work = function.rate.per_us(self.now) * function.latency
-        wanted, standing = max(1, math.ceil(HEADROOM * at_work / function.lanes)), function.coming
-        for worker in ranked:
-            if copies := worker.believed(function.name, self.now):
-                soon = worker.copies[function.name].fades - self.now < 2 * self.load_us
-                if standing < wanted and soon and self._order(worker, function):
-                    self._believe(worker, function, copies)
-                standing += copies
-        if standing < wanted and not function.coming and self.loading < int(self.load_cap):
-            cold = (w for w in ranked if not w.believed(function.name, self.now) and self._fits(w, function))
-            if worker := next(cold, None):
-                self._order(worker, function)
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -134,17 +134,17 @@
     """What is known of a function."""
 
     name: str
+    key: int
     memory: float
     lanes: int
     latency: float
     load_us: float
     rate: Rate
-    uses: int = 0
     held: int = 0
     coming: int = 0
-    asking: int = 0
-    ask_until: int = 0
-    ask_again: int = 0
+    holders: dict[str, Worker] = field(default_factory=dict)  # believed to hold a copy
+    listing: int = -1  # the listing that `order` was made from
+    order: list[Worker] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
@@ -152,7 +152,8 @@
     """What is known of a worker."""
 
     entry: io.WorkerEntry
-    order: int  # breaks ties in the ranking
+    key: int  # the same at every router
+    order: int  # breaks ties in the ranking, by our own number
     memory: float
     cap: float
     inflight: int = 0
@@ -221,7 +222,6 @@
         self.bands = {band.name: band for band in settings.classes}
         self.quotas = {tenant.name: tenant.quota_rps for tenant in settings.tenants}
         self.rates: dict[str, Rate] = {}  # of each tenant's calls
-        self.room: list[Worker] = []  # workers that may have room, in this batch
         self.workers: dict[str, Worker] = {}
         self.functions: dict[str, Function] = {}
         self.calls: dict[str, Call] = {}
