--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -39,6 +39,8 @@
 MOST_LOADS = 6.0  # loads of ours under way at once; halves when loads fail or stall
 FOUND_US = 50_000  # us: an order answered sooner found its copies standing, and tells no load time
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
+CROWD_US = 1_500_000  # us over which what an answer told of others' calls fades
+CROWD_PART = 0.5  # part of them that counts as in flight: they are old news when told
 SWEEP_US = 1_000_000  # us between looks at paces and at what can be forgotten
 
 
@@ -187,7 +189,7 @@
             rank = (copies > 0, worker.inflight, worker.order)
             if rank < best_rank or worker in tried or not self._open(worker):
                 continue
-            free = worker.busy.get(function.name, 0) < function.lanes * copies
+            free = self._at_work(worker, function) < function.lanes * copies
             if (free if copies else self._fits(worker, function)) and self._may_send(call, worker):
                 best, best_rank = worker, rank
         return best, best_rank[0]
@@ -215,12 +217,21 @@
         homes, most = [], min(part * len(function.order), lanes * self.told.routers)
         count = max(need, math.ceil(most))
         for worker in function.order:
-            if self._fit(worker):
+            if self._fit(worker) and self._crowd(worker, function) < function.lanes:
                 homes.append(worker)
                 if len(homes) == count:
                     break
         return heapq.nlargest(need, homes, key=lambda worker: worker.order)
 
+    def _crowd(self, worker: Worker, function: Function) -> float:
+        """Others' calls of a function at a worker, as an answer told them, fading."""
+        told = worker.crowds.get(function.name)
+        return CROWD_PART * told.count * math.exp((told.since - self.now) / CROWD_US) if told else 0.0
+
+    def _at_work(self, worker: Worker, function: Function) -> float:
+        """What counts as in flight: our own calls, and others' as far as answers tell of them."""
+        return worker.busy.get(function.name, 0) + self._crowd(worker, function)
+
     def _shared_order(self, function: Function) -> list[Worker]:
         """All routers' order of the workers for a function; larger workers come early more often."""
         scored = []
@@ -315,6 +326,9 @@
 
     def _learn(self, attempt: Attempt, event: io.Outcome) -> None:
         worker, function, now = attempt.worker, attempt.call.function, self.now
+        if self.told.tells_crowd and event.status in (Status.OK, Status.FULL):
+            others = max(0, (event.note >> 3) - worker.busy.get(function.name, 0))
+            worker.crowds[function.name] = Belief(others, 0.0, now, now + 4 * CROWD_US)
         if event.status in (Status.OK, Status.FULL, Status.MISS):
             worker.quiet_since = now
         match event.status:
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -161,6 +161,7 @@
     copies: dict[str, Belief] = field(default_factory=dict)
     coming: dict[str, Belief] = field(default_factory=dict)  # ordered at `since`, not yet standing
     shut: dict[str, int] = field(default_factory=dict)  # function: no new copy before
+    crowds: dict[str, Belief] = field(default_factory=dict)  # function: others' calls, as told last
     sends: Window = field(default_factory=Window)
     quiet_since: int = 0
     full_until: int = 0
@@ -208,6 +209,7 @@
     def tidy(self, now: int) -> None:
         """Forget what no longer holds."""
         self.copies = {n: b for n, b in self.copies.items() if self.believed(n, now)}
+        self.crowds = {n: told for n, told in self.crowds.items() if now < told.fades}
         self.shut = {name: until for name, until in self.shut.items() if until > now}
 
 
