--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -30,6 +30,8 @@
 REST_US = 250_000  # us a worker rests after a failure; doubles with each further one
 REST_DOUBLINGS = 4  # doublings of the rest at most: a worker back again is tried within 4 s
 FULL_US = 100_000  # us a worker counts as full when no outcome comes sooner
+FULL_DOUBLINGS = 5  # doublings of that time at most for a class or a tenant that is refused again and again
+LOOK_US = 10_000  # us until a function that found no room is looked at again, unless its own news come
 RETRY_SHARE, RETRY_BURST = 0.1, 10.0  # further attempts per call taken, and saved up at most
 GROW_WAIT_US = 100_000  # us a call waits for a lane before a further copy is ordered
 HEADROOM = 2.0  # lanes wanted for each call at work: arrivals are uneven
@@ -59,6 +61,7 @@
         self.median, self.weight, self.listing = 1.0, 0.0, 0
         self.ready: list[Worker] = []
         self.traffic = Rate(RATE_US)
+        self.look_at = 0
 
     def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -156,15 +159,21 @@
         """Place held calls, oldest first; a function that finds no room blocks only itself."""
         heads = []
         for line in sorted(self.lines):
-            if call := self._head(line):
+            if (call := self._head(line)) and self.now >= call.function.look_at:
                 heads.append((line[0], call.seq, line))
         heapq.heapify(heads)
         while heads:
             _, _, line = heapq.heappop(heads)
-            if line in self.lines and (call := self._head(line)) and self._place(call):
+            call = self._head(line) if line in self.lines else None
+            if call and self._place(call):
                 self.lines[line].popleft()
                 if call := self._head(line):
                     heapq.heappush(heads, (line[0], call.seq, line))
+            elif call:
+                call.function.look_at = self.now + LOOK_US
+        if self.lines and self.now >= self.look_at:
+            self.look_at = self.now + LOOK_US
+            self._after(LOOK_US, lambda: None)  # a batch then, to look again
 
     def _place(self, call: Call) -> bool:
         """Send a call to the worker chosen for it, or order a copy at a seat and go on holding."""
@@ -187,7 +196,7 @@
         for worker in workers:
             copies = worker.believed(function.name, self.now)
             rank = (copies > 0, worker.inflight, worker.order)
-            if rank < best_rank or worker in tried or not self._open(worker):
+            if rank < best_rank or worker in tried or not (self._open(worker) and self._takes(call, worker)):
                 continue
             free = self._at_work(worker, function) < function.lanes * copies
             if (free if copies else self._fits(worker, function)) and self._may_send(call, worker):
@@ -217,7 +226,8 @@
         homes, most = [], min(part * len(function.order), lanes * self.told.routers)
         count = max(need, math.ceil(most))
         for worker in function.order:
-            if self._fit(worker) and self._crowd(worker, function) < function.lanes:
+            crowded = self._crowd(worker, function) >= function.lanes
+            if not crowded and self._fit(worker) and self._takes(call, worker):
                 homes.append(worker)
                 if len(homes) == count:
                     break
@@ -267,6 +277,15 @@
             return False
         return not self._suspect(worker) and self._warmed(worker)
 
+    def _takes(self, call: Call, worker: Worker) -> bool:
+        """Whether a worker has not just turned away the call's class or its tenant.
+
+        A 'full' may be meant for one kind of call only.  It marks the class and the tenant; an answer of
+        either clears its mark, so what is left is what was refused.  The mark doubles with each further one.
+        """
+        marks = worker.refused
+        return not marks or all(self.now >= marks[kind].fades for kind in call.kinds if kind in marks)
+
     def _suspect(self, worker: Worker) -> bool:
         """One symptom for hung, paused, slow, crowded and cut-off workers: old work, no outcomes.
 
@@ -316,6 +335,7 @@
         attempt = call.attempts[event.attempt]
         attempt.out, attempt.maybe_ran = False, event.status not in io.NEVER_RAN
         attempt.worker.finish(call.function.name)
+        call.function.look_at = 0
         self._learn(attempt, event)
         if event.closed or event.status is Status.OK:
             call.ended = True
@@ -334,11 +354,18 @@
         match event.status:
             case Status.OK:
                 worker.full_until, worker.failures = 0, 0
+                for kind in attempt.call.kinds:
+                    if kind in worker.refused:
+                        worker.refused[kind] = Belief(worker.refused[kind].count // 2, 0.0, now, 0)
                 self._believe(worker, function, max(1, worker.believed(function.name, now)))
                 if not attempt.cold and event.note & 7 in (0, 1):
                     self._timed(attempt, event.latency_us)
             case Status.FULL:
-                worker.full_until, worker.cap = now + FULL_US, max(1.0, worker.cap - 1)
+                worker.full_until = now + FULL_US
+                for kind in attempt.call.kinds:
+                    times = worker.refused[kind].count if kind in worker.refused else 0
+                    until = now + (FULL_US << min(times, FULL_DOUBLINGS))
+                    worker.refused[kind] = Belief(times + 1, 0.0, now, until)
             case Status.MISS:
                 worker.copies.pop(function.name, None)
             case Status.RESET | Status.CONNECT_FAILED:
@@ -428,6 +455,7 @@
         if worker is None or function is None:
             return
         coming, stand = worker.coming.get(function.name), event.copies > 0
+        function.look_at = 0
         if stand:
             self._believe(worker, function, event.copies)
         if coming and event.status is not Status.OK:
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -105,6 +105,11 @@
     ended: bool = False
     streaming: bool = False
 
+    @property
+    def kinds(self) -> tuple[str, str]:
+        """What a worker may tell calls apart by."""
+        return f"class {self.band.name}", f"tenant {self.request.tenant}"
+
     @property
     def deadline(self) -> int:
         return self.arrived + self.request.left_us
@@ -143,6 +148,7 @@
     held: int = 0
     coming: int = 0
     holders: dict[str, Worker] = field(default_factory=dict)  # believed to hold a copy
+    look_at: int = 0  # no room found: not looked at again before
     listing: int = -1  # the listing that `order` was made from
     order: list[Worker] = field(default_factory=list)
 
@@ -162,6 +168,7 @@
     coming: dict[str, Belief] = field(default_factory=dict)  # ordered at `since`, not yet standing
     shut: dict[str, int] = field(default_factory=dict)  # function: no new copy before
     crowds: dict[str, Belief] = field(default_factory=dict)  # function: others' calls, as told last
+    refused: dict[str, Belief] = field(default_factory=dict)  # class or tenant: turned away so often, until
     sends: Window = field(default_factory=Window)
     quiet_since: int = 0
     full_until: int = 0
@@ -210,6 +217,7 @@
         """Forget what no longer holds."""
         self.copies = {n: b for n, b in self.copies.items() if self.believed(n, now)}
         self.crowds = {n: told for n, told in self.crowds.items() if now < told.fades}
+        self.refused = {n: m for n, m in self.refused.items() if now < 3 * m.fades - 2 * m.since}
         self.shut = {name: until for name, until in self.shut.items() if until > now}
 
 
