--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -31,11 +31,12 @@
 REST_DOUBLINGS = 4  # doublings of the rest at most: a worker back again is tried within 4 s
 FULL_US = 100_000  # us a worker counts as full when no outcome comes sooner
 FULL_DOUBLINGS = 5  # doublings of that time at most for a class or a tenant that is refused again and again
-LOOK_US = 10_000  # us until a function that found no room is looked at again, unless its own news come
+LOOK_US = 50_000  # us until a function that found no room is looked at again, unless its own news come
 RETRY_SHARE, RETRY_BURST = 0.1, 10.0  # further attempts per call taken, and saved up at most
 GROW_WAIT_US = 100_000  # us a call waits for a lane before a further copy is ordered
 HEADROOM = 2.0  # lanes wanted for each call at work: arrivals are uneven
 RATE_US = 10_000_000  # us over which arrivals are averaged: long enough for routers with few calls
+SPREAD = 3.0  # homes a function has for each worker that its part of our calls would fill: evens them out
 DOUBT = 1.0  # standard deviations taken off a function's count of calls before it spreads
 KEEP_LIVES = 2  # idle lives after its last call for which a function is remembered
 MOST_LOADS = 6.0  # loads of ours under way at once; halves when loads fail or stall
@@ -43,6 +44,7 @@
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
 CROWD_US = 1_500_000  # us over which what an answer told of others' calls fades
 CROWD_PART = 0.5  # part of them that counts as in flight: they are old news when told
+SURGE = 4.0  # times its even share that a starting worker may be offered, by bursts and by chance
 SWEEP_US = 1_000_000  # us between looks at paces and at what can be forgotten
 
 
@@ -50,6 +52,9 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
+SPLIT = 0x9E3779B97F4A7C15  # 2**64 over the golden ratio: scatters hashes
+
+
 class Router(Books):
     """One router's decisions: `handle` takes a batch of events and gives the actions."""
 
@@ -92,14 +97,16 @@
 
     def _entry(self, entry: io.WorkerEntry) -> None:
         worker = self.workers.get(entry.worker)
+        warm_at = entry.started_us + self.told.cold_us if entry.started_us else 0
         if worker is None:
             order = _hash(f"{entry.worker}/{self.told.position}")
             memory = dict(self.told.kind_memory_mb).get(entry.kind, math.inf)
             worker = Worker(entry, _hash(entry.worker), order, memory, FIRST_CAP)
-            self.workers[entry.worker] = worker
+            self.workers[entry.worker], worker.warm_at = worker, warm_at
         elif entry.started_us != worker.entry.started_us:  # beliefs die with the process
             self._forget(worker)
             worker.failures, worker.rest_until, worker.pace, worker.cap = 0, 0, self.median, FIRST_CAP
+            worker.warm_at = warm_at
         worker.entry = entry
         if entry.state is State.GONE:
             self._forget(worker)
@@ -215,23 +222,39 @@
         our calls is of the fleet, so that routers which never talk meet at the same copies.  Of these we
         take as many as our own calls need, by the tie hash.  A home that is not fit passes its place on.
         """
-        function = call.function
-        if function.listing != self.listing:
-            function.listing, function.order = self.listing, self._shared_order(function)
-        at_work = function.rate.per_us(self.now) * function.latency
-        lanes = HEADROOM * at_work / function.lanes
-        need = max(1, math.ceil(lanes)) + (self.now - call.arrived > GROW_WAIT_US)
-        calls = function.rate.total
-        part = max(0.0, calls - DOUBT * math.sqrt(calls)) / max(1.0, self.traffic.per_us(self.now) * RATE_US)
-        homes, most = [], min(part * len(function.order), lanes * self.told.routers)
-        count = max(need, math.ceil(most))
+        function, seats = call.function, []
+        need = self._reach(function)
+        need += self.now - call.arrived > GROW_WAIT_US
         for worker in function.order:
             crowded = self._crowd(worker, function) >= function.lanes
             if not crowded and self._fit(worker) and self._takes(call, worker):
-                homes.append(worker)
-                if len(homes) == count:
+                seats.append(worker)
+                if len(seats) == need:
                     break
-        return heapq.nlargest(need, homes, key=lambda worker: worker.order)
+        return seats
+
+    def _reach(self, function: Function) -> int:
+        """How many seats our calls of a function need; its homes come first in its order, ours before all."""
+        lanes = HEADROOM * function.rate.per_us(self.now) * function.latency / function.lanes
+        calls = function.rate.total
+        part = max(0.0, calls - DOUBT * math.sqrt(calls)) / max(1.0, self.traffic.per_us(self.now) * RATE_US)
+        homes = min(SPREAD * part * len(self.ready), lanes * self.told.routers)
+        homes = 1 << math.ceil(math.log2(max(1.0, homes, lanes)))  # in steps, so that seats seldom move
+        if function.listing != self.listing:
+            function.listing, function.homes = self.listing, 0
+            function.shared = sorted(self.ready, key=lambda worker: self._distance(worker, function))
+        if function.homes != homes:
+            ours = sorted(function.shared[:homes], key=lambda worker: -worker.order)
+            function.homes, function.order = homes, ours + function.shared[homes:]
+        return max(1, math.ceil(lanes))
+
+    def _distance(self, worker: Worker, function: Function) -> float:
+        """The order of workers for a function, the same at all routers; larger ones come early more often."""
+        mixed = ((worker.key ^ function.key) * SPLIT >> 11) & (2**52 - 1)
+        return -math.log((mixed + 1) / 2**52) / self._size(worker)
+
+    def _size(self, worker: Worker) -> float:
+        return max(0.01, worker.entry.weight / self.weight) if self.weight else 1.0
 
     def _crowd(self, worker: Worker, function: Function) -> float:
         """Others' calls of a function at a worker, as an answer told them, fading."""
@@ -242,17 +265,6 @@
         """What counts as in flight: our own calls, and others' as far as answers tell of them."""
         return worker.busy.get(function.name, 0) + self._crowd(worker, function)
 
-    def _shared_order(self, function: Function) -> list[Worker]:
-        """All routers' order of the workers for a function; larger workers come early more often."""
-        scored = []
-        for worker in self.ready:
-            mixed = ((worker.key ^ function.key) * 0x9E3779B97F4A7C15 >> 11) & (2**52 - 1)
-            scored.append((-math.log((mixed + 1) / 2**52) / self._size(worker), worker.key, worker))
-        return [worker for _, _, worker in sorted(scored, key=lambda item: item[:2])]
-
-    def _size(self, worker: Worker) -> float:
-        return max(0.01, worker.entry.weight / self.weight) if self.weight else 1.0
-
     def _fits(self, worker: Worker, function: Function) -> bool:
         """Cold room: memory for one more copy in our own account, and none coming or just failed."""
         if function.name in worker.coming or self.now < worker.shut.get(function.name, 0):
@@ -284,6 +296,8 @@
         either clears its mark, so what is left is what was refused.  The mark doubles with each further one.
         """
         marks = worker.refused
+        if not self._admits(call, worker):
+            return False
         return not marks or all(self.now >= marks[kind].fades for kind in call.kinds if kind in marks)
 
     def _suspect(self, worker: Worker) -> bool:
@@ -296,17 +310,32 @@
             return True
         return worker.pace > SLOW * self.median and (worker.inflight > 0 or self.now < worker.trial_at)
 
+    def _present(self, worker: Worker) -> float:
+        """The part of its capacity that a starting worker has by now, at the slowest warm-up allowed."""
+        left = (worker.warm_at - self.now) / max(1, self.told.cold_us)
+        return 1 - (1 - self.told.cold_share) * min(1.0, max(0.0, left))
+
     def _warmed(self, worker: Worker) -> bool:
-        """Rule 4: our part of what a starting worker may be sent, at the slowest warm-up allowed."""
-        begun = max(worker.entry.started_us, worker.lost_at)
-        if not begun or self.now - begun >= self.told.cold_us:
-            worker.sends.count(self.now)  # keeps the window short
+        """Rule 4: our part of what a starting worker may be sent in any span, one call at the least."""
+        if self.now >= worker.warm_at:
             return True
-        age = max(0, self.now - begun) / self.told.cold_us
-        share = self.told.cold_share + (1 - self.told.cold_share) * age
+        sent, present = worker.sends.count(self.now - self.told.fall_us), self._present(worker)
         # One core at the usual latency: no worker has less, so this errs on the safe side.
-        budget = self.told.fall_multiple * share * self.told.fall_us / self.latency / self.told.routers
-        return worker.sends.count(self.now - self.told.fall_us) + 1 <= budget
+        budget = self.told.fall_multiple * present * self.told.fall_us / self.latency / self.told.routers
+        return sent + 1 <= max(1.0, budget)
+
+    def _admits(self, call: Call, worker: Worker) -> bool:
+        """Rule 4 among many routers: a starting worker gets the part of our calls that it is of itself.
+
+        One call at each of many routers can be too much in all.  So each router sends a starting worker only
+        a part of what it would send a warm one: the sum is right for any number of routers.  The part leaves
+        room for SURGE times the even share.  The draw is made from the call, so that it is not drawn again.
+        """
+        if self.now >= worker.warm_at:
+            return True
+        part = self._present(worker) * min(1.0, self.told.fall_multiple / SURGE)
+        drawn = ((worker.order ^ call.seq * SPLIT) * SPLIT >> 11 & (2**52 - 1)) / 2**52
+        return drawn < part
 
     def _may_send(self, call: Call, worker: Worker) -> bool:
         """Rule 2: where this call may go, given what its earlier attempts may have done."""
@@ -370,7 +399,7 @@
                 worker.copies.pop(function.name, None)
             case Status.RESET | Status.CONNECT_FAILED:
                 self._forget(worker)
-                worker.lost_at = now  # it may be starting again before the list says so
+                worker.warm_at = now + self.told.cold_us  # it may be starting again before the list says so
                 self._rest(worker)
             case Status.TIMEOUT if not attempt.call.ended:
                 self._rest(worker)
@@ -476,7 +505,7 @@
         self.median = max(0.1, paces[len(paces) // 2]) if paces else 1.0
         self.taken.count(self.now - self.told.load_window_us)  # keeps the window short
         for worker in self.workers.values():
-            worker.tidy(self.now)
+            worker.tidy(self.now, self.now - self.told.fall_us)
         for function in list(self.functions.values()):
             idle = self.now - function.rate.at > KEEP_LIVES * self.told.idle_life_us
             if idle and not (function.held or function.coming):
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -149,8 +149,10 @@
     coming: int = 0
     holders: dict[str, Worker] = field(default_factory=dict)  # believed to hold a copy
     look_at: int = 0  # no room found: not looked at again before
-    listing: int = -1  # the listing that `order` was made from
-    order: list[Worker] = field(default_factory=list)
+    listing: int = -1  # the listing that `shared` was made from
+    shared: list[Worker] = field(default_factory=list)  # workers in the order of all routers
+    homes: int = 0  # so many of them are homes
+    order: list[Worker] = field(default_factory=list)  # the homes in our own order, then the others
 
 
 @dataclass(slots=True, eq=False)
@@ -176,7 +178,7 @@
     failures: int = 0
     pace: float = 1.0
     trial_at: int = 0
-    lost_at: int = 0
+    warm_at: int = 0  # warmed up by then at the latest
 
     @property
     def ready(self) -> bool:
@@ -213,8 +215,9 @@
         if not self.busy[name]:
             del self.busy[name]
 
-    def tidy(self, now: int) -> None:
+    def tidy(self, now: int, since: int) -> None:
         """Forget what no longer holds."""
+        self.sends.count(since)
         self.copies = {n: b for n, b in self.copies.items() if self.believed(n, now)}
         self.crowds = {n: told for n, told in self.crowds.items() if now < told.fades}
         self.refused = {n: m for n, m in self.refused.items() if now < 3 * m.fades - 2 * m.since}
