--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -22,11 +22,11 @@
 FIRST_LATENCY = 0.25  # of the class's wanted time: a call's time before any outcome has told one
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
-PACE_UP, PACE_DOWN = 0.2, 0.4  # weight of one outcome in a worker's pace; good news counts more
-SLOW = 2.5  # times the median pace: such a worker gets one trial at a time
+PACE_LEARN = 0.5  # weight of one outcome in a worker's pace: a router with few calls sees few of them
+PACE_US = 5_000_000  # us over which a worker's pace goes back to that of its kind
 SILENCE = 4.0  # times the usual latency without an outcome: no room until the next one
 LATE = 5.0  # times the usual latency: an attempt is late, another may be made
-TRIAL_US = 1_000_000  # us between trials of a slow worker, and between calls to a failing discovery
+TRIAL_US = 1_000_000  # us between calls to a failing discovery
 REST_US = 250_000  # us a worker rests after a failure; doubles with each further one
 REST_DOUBLINGS = 4  # doublings of the rest at most: a worker back again is tried within 4 s
 FULL_US = 100_000  # us a worker counts as full when no outcome comes sooner
@@ -45,6 +45,7 @@
 CROWD_US = 1_500_000  # us over which what an answer told of others' calls fades
 CROWD_PART = 0.5  # part of them that counts as in flight: they are old news when told
 SURGE = 4.0  # times its even share that a starting worker may be offered, by bursts and by chance
+STILL_US = 50_000  # us that a timer may come late before we take it that we stood still ourselves
 SWEEP_US = 1_000_000  # us between looks at paces and at what can be forgotten
 
 
@@ -66,7 +67,8 @@
         self.median, self.weight, self.listing = 1.0, 0.0, 0
         self.ready: list[Worker] = []
         self.traffic = Rate(RATE_US)
-        self.look_at = 0
+        self.look_at, self.woke = 0, 0
+        self.kind_pace: dict[str, float] = {}
 
     def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -76,11 +78,23 @@
                 self._watch()
         takers = {io.Request: self._request, io.Outcome: self._outcome}
         takers |= {io.Loaded: self._loaded, io.Members: self._members}
-        for event in events:
+        self._look_back(events)
+        # Timers last: after a gap of our own an answer may lie beside the timer that would call it late.
+        for event in sorted(events, key=lambda event: isinstance(event, io.Timer)):
             takers.get(type(event), self._note)(event)
         self._dispatch()
         return self.actions
 
+    def _look_back(self, events: list[io.Event]) -> None:
+        """After a gap in our own clock what was out meanwhile tells nothing of the workers.
+
+        Told by a timer that comes late.  It guards against a router that is paused, starved or swapped out:
+        all workers would look silent and slow at once.  A real hang is found one usual wait later.
+        """
+        due = [self.due(event.token) for event in events if isinstance(event, io.Timer)]
+        if self.now - min(due, default=self.now) > STILL_US:
+            self.woke = self.now
+
     def _watch(self) -> None:
         self.actions.append(io.Watch(True))
 
@@ -105,7 +119,7 @@
             self.workers[entry.worker], worker.warm_at = worker, warm_at
         elif entry.started_us != worker.entry.started_us:  # beliefs die with the process
             self._forget(worker)
-            worker.failures, worker.rest_until, worker.pace, worker.cap = 0, 0, self.median, FIRST_CAP
+            worker.failures, worker.rest_until, worker.pace_at, worker.cap = 0, 0, 0, FIRST_CAP
             worker.warm_at = warm_at
         worker.entry = entry
         if entry.state is State.GONE:
@@ -301,14 +315,11 @@
         return not marks or all(self.now >= marks[kind].fades for kind in call.kinds if kind in marks)
 
     def _suspect(self, worker: Worker) -> bool:
-        """One symptom for hung, paused, slow, crowded and cut-off workers: old work, no outcomes.
+        """One symptom for hung, paused, crowded and cut-off workers: old work, no outcomes.
 
         It may hurt when a single long call is all that a worker has; the next outcome ends it.
-        Slow is against the fleet's median, never a fixed time, so that a fleet slow as a whole serves.
         """
-        if worker.inflight and self.now - worker.quiet_since > SILENCE * self.latency:
-            return True
-        return worker.pace > SLOW * self.median and (worker.inflight > 0 or self.now < worker.trial_at)
+        return worker.inflight > 0 and self.now - max(worker.quiet_since, self.woke) > SILENCE * self.latency
 
     def _present(self, worker: Worker) -> float:
         """The part of its capacity that a starting worker has by now, at the slowest warm-up allowed."""
@@ -324,16 +335,23 @@
         budget = self.told.fall_multiple * present * self.told.fall_us / self.latency / self.told.routers
         return sent + 1 <= max(1.0, budget)
 
+    def _pace(self, worker: Worker) -> float:
+        """How long calls take there against their functions' usual time; old news fade into the kind's."""
+        usual = self.kind_pace.get(worker.entry.kind, 1.0)
+        return usual + (worker.pace - usual) * math.exp((worker.pace_at - self.now) / PACE_US)
+
     def _admits(self, call: Call, worker: Worker) -> bool:
-        """Rule 4 among many routers: a starting worker gets the part of our calls that it is of itself.
+        """A slow or starting worker admits only a part of our calls: what it can do of what others can.
 
-        One call at each of many routers can be too much in all.  So each router sends a starting worker only
-        a part of what it would send a warm one: the sum is right for any number of routers.  The part leaves
-        room for SURGE times the even share.  The draw is made from the call, so that it is not drawn again.
+        Slow, crowded, shared, ageing and starting workers and weak kinds are answered alike, by a part that
+        all routers take away in the same measure, so the sum is right for any number of them; this is what
+        keeps rule 4, with room for SURGE times the even share.  Against the median, so a fleet slow as a
+        whole serves.  The draw is made from the call and is not made again.  It may hurt after one unlucky
+        answer; that fades.
         """
-        if self.now >= worker.warm_at:
-            return True
-        part = self._present(worker) * min(1.0, self.told.fall_multiple / SURGE)
+        part = min(1.0, self.median / self._pace(worker)) ** 2
+        if self.now < worker.warm_at:
+            part *= self._present(worker) * min(1.0, self.told.fall_multiple / SURGE)
         drawn = ((worker.order ^ call.seq * SPLIT) * SPLIT >> 11 & (2**52 - 1)) / 2**52
         return drawn < part
 
@@ -407,9 +425,13 @@
     def _timed(self, attempt: Attempt, latency: int) -> None:
         """Learn from how long an answer took: the function's time, the worker's pace and its cap."""
         worker, call = attempt.worker, attempt.call
+        if attempt.sent < self.woke:
+            return
         ratio = min(latency / call.function.latency, 2 * LATE)
-        worker.pace += (PACE_UP if ratio > worker.pace else PACE_DOWN) * (ratio - worker.pace)
-        worker.trial_at = self.now + TRIAL_US
+        usual = self.kind_pace.setdefault(worker.entry.kind, 1.0)
+        self.kind_pace[worker.entry.kind] += LEARN * (ratio - usual)
+        pace = self._pace(worker)
+        worker.pace, worker.pace_at = pace + PACE_LEARN * (ratio - pace), self.now
         call.function.latency *= 1 + LEARN * (ratio - 1)
         self.latency += LEARN * (min(latency, LATE * self.latency) - self.latency)
         step = CAP_STEP * max(-2.0, 1 - latency / (CAP_AIM * call.band.target_us))
@@ -437,6 +459,9 @@
         call, told = attempt.call, self.told
         if not attempt.out or call.ended or call.streaming:
             return
+        if attempt.sent < self.woke and self.now == self.woke:  # its answer may be on the way
+            self._after(LATE * call.function.latency, self._late, attempt)
+            return
         if not attempt.cold:
             self._timed(attempt, self.now - attempt.sent)
         if call.held or call.band.effect is Effect.UNSAFE or len(call.attempts) >= told.max_attempts:
@@ -501,7 +526,7 @@
     def _sweep(self) -> None:
         """Now and then: the fleet's median pace, and what can be forgotten."""
         self._after(SWEEP_US, self._sweep)
-        paces = sorted(worker.pace for worker in self.ready)
+        paces = sorted(map(self._pace, self.ready))
         self.median = max(0.1, paces[len(paces) // 2]) if paces else 1.0
         self.taken.count(self.now - self.told.load_window_us)  # keeps the window short
         for worker in self.workers.values():
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -177,7 +177,7 @@
     rest_until: int = 0
     failures: int = 0
     pace: float = 1.0
-    trial_at: int = 0
+    pace_at: int = 0
     warm_at: int = 0  # warmed up by then at the latest
 
     @property
@@ -244,18 +244,22 @@
         self.now = 0
         self.seq = 0  # numbers calls and timers in order
         self.actions: list[io.Action] = []
-        self._timers: dict[int, tuple[Callable[..., None], tuple]] = {}
+        self._timers: dict[int, tuple[Callable[..., None], tuple, int]] = {}
 
     def _after(self, delay: float, act: Callable[..., None], *args: object) -> None:
         """Call `act` after so many microseconds."""
         self.seq += 1
-        self._timers[self.seq] = (act, args)
+        self._timers[self.seq] = (act, args, self.now + max(0, int(delay)))
         self.actions.append(io.SetTimer(max(0, int(delay)), self.seq))
 
+    def due(self, token: int) -> int:
+        """When a timer of ours was due."""
+        return self._timers[token][2] if token in self._timers else self.now
+
     def _note(self, event: io.Event) -> None:
         """Events that only change the books; probes and messages of peers are not made use of."""
         if isinstance(event, io.Timer) and event.token in self._timers:
-            act, args = self._timers.pop(event.token)
+            act, args, _ = self._timers.pop(event.token)
             act(*args)
         elif isinstance(event, io.Left) and event.id in self.calls:
             self._end(self.calls[event.id])
