--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -23,7 +23,7 @@
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
 PACE_LEARN = 0.5  # weight of one outcome in a worker's pace: a router with few calls sees few of them
-PACE_US = 5_000_000  # us over which a worker's pace goes back to that of its kind
+PACE_US = 10_000_000  # us over which a worker's pace goes back to that of its kind
 SILENCE = 4.0  # times the usual latency without an outcome: no room until the next one
 LATE = 5.0  # times the usual latency: an attempt is late, another may be made
 TRIAL_US = 1_000_000  # us between calls to a failing discovery
@@ -69,6 +69,8 @@
         self.traffic = Rate(RATE_US)
         self.look_at, self.woke = 0, 0
         self.kind_pace: dict[str, float] = {}
+        self.usual = {band.name: FIRST_LATENCY * band.target_us for band in settings.classes}
+        self.usual_held = 0.0
 
     def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -393,6 +395,12 @@
 
     def _learn(self, attempt: Attempt, event: io.Outcome) -> None:
         worker, function, now = attempt.worker, attempt.call.function, self.now
+        held = dict(event.report).get("rif")
+        if held is not None:
+            self.usual_held += LEARN * (held - self.usual_held)
+            self._strain(worker, (held + 1) / (self.usual_held + 1))
+        elif event.status is Status.FULL:
+            self._strain(worker, LATE)
         if self.told.tells_crowd and event.status in (Status.OK, Status.FULL):
             others = max(0, (event.note >> 3) - worker.busy.get(function.name, 0))
             worker.crowds[function.name] = Belief(others, 0.0, now, now + 4 * CROWD_US)
@@ -427,17 +435,23 @@
         worker, call = attempt.worker, attempt.call
         if attempt.sent < self.woke:
             return
+        usual = self.usual[call.band.name]
+        ratio = min(latency / usual, 2 * LATE)
+        self.usual[call.band.name] += LEARN * usual * (ratio - 1)
+        self._strain(worker, ratio)
         ratio = min(latency / call.function.latency, 2 * LATE)
-        usual = self.kind_pace.setdefault(worker.entry.kind, 1.0)
-        self.kind_pace[worker.entry.kind] += LEARN * (ratio - usual)
-        pace = self._pace(worker)
-        worker.pace, worker.pace_at = pace + PACE_LEARN * (ratio - pace), self.now
         call.function.latency *= 1 + LEARN * (ratio - 1)
         self.latency += LEARN * (min(latency, LATE * self.latency) - self.latency)
         step = CAP_STEP * max(-2.0, 1 - latency / (CAP_AIM * call.band.target_us))
         if step < 0 or worker.inflight + 2 > worker.cap:  # only a cap in use grows
             worker.cap = min(MOST_CAP, max(1.0, worker.cap + step))
 
+    def _strain(self, worker: Worker, ratio: float) -> None:
+        """One sign of how busy a worker is, against what is usual: a latency, or the calls it holds."""
+        usual, pace = self.kind_pace.setdefault(worker.entry.kind, 1.0), self._pace(worker)
+        self.kind_pace[worker.entry.kind] += LEARN * (ratio - usual)
+        worker.pace, worker.pace_at = pace + PACE_LEARN * (ratio - pace), self.now
+
     def _rest(self, worker: Worker) -> None:
         worker.rest_until = self.now + (REST_US << min(worker.failures, REST_DOUBLINGS))
         worker.failures += 1
