--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -44,7 +44,7 @@
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
 CROWD_US = 1_500_000  # us over which what an answer told of others' calls fades
 CROWD_PART = 0.5  # part of them that counts as in flight: they are old news when told
-SURGE = 4.0  # times its even share that a starting worker may be offered, by bursts and by chance
+SURGE = 8.0  # times its even share that a starting worker may be offered, by bursts and by chance
 STILL_US = 50_000  # us that a timer may come late before we take it that we stood still ourselves
 SWEEP_US = 1_000_000  # us between looks at paces and at what can be forgotten
 
@@ -130,10 +130,8 @@
     def _request(self, request: io.Request) -> None:
         band, function = self.bands[request.band], self.functions.get(request.function)
         if function is None:
-            latency, load = FIRST_LATENCY * band.target_us, request.load_us or self.load_us
-            name = request.function
-            function = Function(name, _hash(name), 0.0, 1, latency, load, Rate(RATE_US))
-            self.functions[request.function] = function
+            name, load = request.function, request.load_us or self.load_us
+            function = self.functions[name] = Function(name, _hash(name), 0.0, 1, load, Rate(RATE_US))
         function.memory, function.lanes = request.memory_mb, request.lanes
         function.rate.add(self.now)
         self.traffic.add(self.now)
@@ -158,15 +156,19 @@
         bound = call.bound()
         group = bound.worker.group(call.band) if bound else ""
         call.hold()
-        second = call.over_share or self.now + call.function.latency > call.aim
+        second = call.over_share or self.now + self._usual(call) > call.aim
         self.lines.setdefault((int(second), call.function.name, group), deque()).append(call)
 
+    def _usual(self, call: Call) -> float:
+        return self.usual[call.band.name]
+
     def _head(self, line: Line) -> Call | None:
         """The first call of a line that waits; late ones change line, hopeless ones are answered."""
         queue = self.lines[line]
         while queue:
             call = queue[0]
-            if call.held and self.now + call.function.latency <= (call.deadline if line[0] else call.aim):
+            usual = self._usual(call)
+            if call.held and self.now + usual <= (call.deadline if line[0] else call.aim):
                 return call
             queue.popleft()
             if call.held and line[0] == 0:
@@ -239,7 +241,7 @@
         take as many as our own calls need, by the tie hash.  A home that is not fit passes its place on.
         """
         function, seats = call.function, []
-        need = self._reach(function)
+        need = self._reach(function, self._usual(call))
         need += self.now - call.arrived > GROW_WAIT_US
         for worker in function.order:
             crowded = self._crowd(worker, function) >= function.lanes
@@ -249,9 +251,9 @@
                     break
         return seats
 
-    def _reach(self, function: Function) -> int:
+    def _reach(self, function: Function, usual: float) -> int:
         """How many seats our calls of a function need; its homes come first in its order, ours before all."""
-        lanes = HEADROOM * function.rate.per_us(self.now) * function.latency / function.lanes
+        lanes = HEADROOM * function.rate.per_us(self.now) * usual / function.lanes
         calls = function.rate.total
         part = max(0.0, calls - DOUBT * math.sqrt(calls)) / max(1.0, self.traffic.per_us(self.now) * RATE_US)
         homes = min(SPREAD * part * len(self.ready), lanes * self.told.routers)
@@ -375,7 +377,7 @@
         if cold:
             self._believe(worker, function, 1)
         self.actions.append(io.Send(call.request.id, worker.entry.worker, call.deadline))
-        self._after(LATE * function.latency + (function.load_us if cold else 0), self._late, attempt)
+        self._after(LATE * self._usual(call) + (function.load_us if cold else 0), self._late, attempt)
 
     def _outcome(self, event: io.Outcome) -> None:
         call = self.calls.get(event.id)
@@ -435,12 +437,10 @@
         worker, call = attempt.worker, attempt.call
         if attempt.sent < self.woke:
             return
-        usual = self.usual[call.band.name]
+        usual = self._usual(call)
         ratio = min(latency / usual, 2 * LATE)
         self.usual[call.band.name] += LEARN * usual * (ratio - 1)
         self._strain(worker, ratio)
-        ratio = min(latency / call.function.latency, 2 * LATE)
-        call.function.latency *= 1 + LEARN * (ratio - 1)
         self.latency += LEARN * (min(latency, LATE * self.latency) - self.latency)
         step = CAP_STEP * max(-2.0, 1 - latency / (CAP_AIM * call.band.target_us))
         if step < 0 or worker.inflight + 2 > worker.cap:  # only a cap in use grows
@@ -474,14 +474,14 @@
         if not attempt.out or call.ended or call.streaming:
             return
         if attempt.sent < self.woke and self.now == self.woke:  # its answer may be on the way
-            self._after(LATE * call.function.latency, self._late, attempt)
+            self._after(LATE * self._usual(call), self._late, attempt)
             return
         if not attempt.cold:
             self._timed(attempt, self.now - attempt.sent)
         if call.held or call.band.effect is Effect.UNSAFE or len(call.attempts) >= told.max_attempts:
             return
         if not self._suspect(attempt.worker):
-            self._after(LATE * call.function.latency, self._late, attempt)
+            self._after(LATE * self._usual(call), self._late, attempt)
         elif told.second_copies and self.retries.spend(1):
             self._hold(call)
         elif not told.second_copies and told.may_cancel and self.retries.left >= 1:
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -142,7 +142,6 @@
     key: int
     memory: float
     lanes: int
-    latency: float
     load_us: float
     rate: Rate
     held: int = 0
