--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -16,9 +16,7 @@
 from swiftwell.interface import Effect, ListKind, State, Status
 from swiftwell.records import Attempt, Belief, Books, Budget, Call, Function, Line, Rate, Worker, listed
 
-FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
-CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
-CAP_AIM = 0.25  # of a class's wanted time: outcomes that take longer lower the cap
+CAP = 16.0  # requests of ours in flight at a worker of the usual size
 FIRST_LATENCY = 0.25  # of the class's wanted time: a call's time before any outcome has told one
 FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
@@ -39,7 +37,7 @@
 SPREAD = 3.0  # homes a function has for each worker that its part of our calls would fill: evens them out
 DOUBT = 1.0  # standard deviations taken off a function's count of calls before it spreads
 KEEP_LIVES = 2  # idle lives after its last call for which a function is remembered
-MOST_LOADS = 6.0  # loads of ours under way at once; halves when loads fail or stall
+MOST_LOADS = 6  # loads of ours under way at once
 FOUND_US = 50_000  # us: an order answered sooner found its copies standing, and tells no load time
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
 CROWD_US = 1_500_000  # us over which what an answer told of others' calls fades
@@ -63,11 +61,12 @@
         super().__init__(settings, seed)
         self.retries = Budget(RETRY_BURST, RETRY_BURST)
         self.latency = FIRST_LATENCY * min((band.target_us for band in settings.classes), default=1_000_000)
-        self.load_us, self.load_cap = float(FIRST_LOAD_US), MOST_LOADS
+        self.load_us = float(FIRST_LOAD_US)
         self.median, self.weight, self.listing = 1.0, 0.0, 0
         self.ready: list[Worker] = []
         self.traffic = Rate(RATE_US)
         self.look_at, self.woke = 0, 0
+        self.news: set[str] = set()  # functions to look at in this batch
         self.kind_pace: dict[str, float] = {}
         self.usual = {band.name: FIRST_LATENCY * band.target_us for band in settings.classes}
         self.usual_held = 0.0
@@ -117,12 +116,11 @@
         if worker is None:
             order = _hash(f"{entry.worker}/{self.told.position}")
             memory = dict(self.told.kind_memory_mb).get(entry.kind, math.inf)
-            worker = Worker(entry, _hash(entry.worker), order, memory, FIRST_CAP)
+            worker = Worker(entry, _hash(entry.worker), order, memory)
             self.workers[entry.worker], worker.warm_at = worker, warm_at
         elif entry.started_us != worker.entry.started_us:  # beliefs die with the process
             self._forget(worker)
-            worker.failures, worker.rest_until, worker.pace_at, worker.cap = 0, 0, 0, FIRST_CAP
-            worker.warm_at = warm_at
+            worker.failures, worker.rest_until, worker.pace_at, worker.warm_at = 0, 0, 0, warm_at
         worker.entry = entry
         if entry.state is State.GONE:
             self._forget(worker)
@@ -135,13 +133,9 @@
         function.memory, function.lanes = request.memory_mb, request.lanes
         function.rate.add(self.now)
         self.traffic.add(self.now)
-        rate = self.rates.setdefault(request.tenant, Rate(RATE_US))
-        rate.add(self.now)
-        # Over its whole quota with this router alone: the others' traffic is not known, so no less is proof.
-        over_share = 0 < self.quotas.get(request.tenant, 0.0) < rate.per_us(self.now) * 1e6
         self.retries.earn(RETRY_SHARE)
         self.taken.add(self.now)
-        call = Call(request, band, function, self.seq, self.now, over_share)
+        call = Call(request, band, function, self.seq, self.now)
         self.calls[request.id] = call
         # Two ticks early: timers land on the next tick, and the answer must precede the deadline.
         self._after(request.left_us - 2 * self.told.tick_us, self._finish, call)
@@ -150,13 +144,14 @@
     def _hold(self, call: Call) -> None:
         """Put a call in line; one bound to a group waits apart, so that it blocks nobody.
 
-        Calls that can't be in time any more and those over a tenant's quota wait behind all others:
-        against overload and one tenant's burst.  Under a lasting overload they are never served.
+        Calls that can't be in time any more wait behind all others, against overload.  Under a lasting
+        overload they are never served.
         """
         bound = call.bound()
         group = bound.worker.group(call.band) if bound else ""
         call.hold()
-        second = call.over_share or self.now + self._usual(call) > call.aim
+        second = self.now + self._usual(call) > call.aim
+        self.news.add(call.function.name)
         self.lines.setdefault((int(second), call.function.name, group), deque()).append(call)
 
     def _usual(self, call: Call) -> float:
@@ -182,10 +177,11 @@
 
     def _dispatch(self) -> None:
         """Place held calls, oldest first; a function that finds no room blocks only itself."""
-        heads = []
-        for line in sorted(self.lines):
-            if (call := self._head(line)) and self.now >= call.function.look_at:
+        heads, look = [], self.now >= self.look_at
+        for line in [line for line in self.lines if look or line[1] in self.news]:
+            if call := self._head(line):
                 heads.append((line[0], call.seq, line))
+        self.news.clear()
         heapq.heapify(heads)
         while heads:
             _, _, line = heapq.heappop(heads)
@@ -194,9 +190,7 @@
                 self.lines[line].popleft()
                 if call := self._head(line):
                     heapq.heappush(heads, (line[0], call.seq, line))
-            elif call:
-                call.function.look_at = self.now + LOOK_US
-        if self.lines and self.now >= self.look_at:
+        if self.lines and look:
             self.look_at = self.now + LOOK_US
             self._after(LOOK_US, lambda: None)  # a batch then, to look again
 
@@ -221,9 +215,11 @@
         for worker in workers:
             copies = worker.believed(function.name, self.now)
             rank = (copies > 0, worker.inflight, worker.order)
-            if rank < best_rank or worker in tried or not (self._open(worker) and self._takes(call, worker)):
+            capped = worker.inflight >= max(1.0, CAP * self._size(worker))
+            if rank < best_rank or worker in tried or capped or not self._fit(call, worker):
                 continue
-            free = self._at_work(worker, function) < function.lanes * copies
+            at_work = worker.busy.get(function.name, 0) + self._crowd(worker, function)
+            free = at_work < function.lanes * copies
             if (free if copies else self._fits(worker, function)) and self._may_send(call, worker):
                 best, best_rank = worker, rank
         return best, best_rank[0]
@@ -244,8 +240,7 @@
         need = self._reach(function, self._usual(call))
         need += self.now - call.arrived > GROW_WAIT_US
         for worker in function.order:
-            crowded = self._crowd(worker, function) >= function.lanes
-            if not crowded and self._fit(worker) and self._takes(call, worker):
+            if self._crowd(worker, function) < function.lanes and self._fit(call, worker):
                 seats.append(worker)
                 if len(seats) == need:
                     break
@@ -275,19 +270,15 @@
         return max(0.01, worker.entry.weight / self.weight) if self.weight else 1.0
 
     def _crowd(self, worker: Worker, function: Function) -> float:
-        """Others' calls of a function at a worker, as an answer told them, fading."""
+        """What counts as in flight beside our own: others' calls as an answer told them, fading."""
         told = worker.crowds.get(function.name)
         return CROWD_PART * told.count * math.exp((told.since - self.now) / CROWD_US) if told else 0.0
 
-    def _at_work(self, worker: Worker, function: Function) -> float:
-        """What counts as in flight: our own calls, and others' as far as answers tell of them."""
-        return worker.busy.get(function.name, 0) + self._crowd(worker, function)
-
     def _fits(self, worker: Worker, function: Function) -> bool:
         """Cold room: memory for one more copy in our own account, and none coming or just failed."""
         if function.name in worker.coming or self.now < worker.shut.get(function.name, 0):
             return False
-        if self.loading >= int(self.load_cap):
+        if self.loading >= MOST_LOADS:
             return False
         return worker.memory_used(self.now) + function.memory <= worker.memory
 
@@ -297,26 +288,16 @@
         worker.copies[function.name] = Belief(count, function.memory, self.now, fades)
         function.holders[worker.entry.worker] = worker
 
-    def _open(self, worker: Worker) -> bool:
-        """Whether a worker may have room at all, whatever the function."""
-        return worker.inflight < max(1, int(worker.cap * self._size(worker))) and self._fit(worker)
-
-    def _fit(self, worker: Worker) -> bool:
-        """Whether nothing but its own calls keeps a worker from having room."""
-        if not worker.ready or self.now < max(worker.rest_until, worker.full_until):
-            return False
-        return not self._suspect(worker) and self._warmed(worker)
-
-    def _takes(self, call: Call, worker: Worker) -> bool:
-        """Whether a worker has not just turned away the call's class or its tenant.
+    def _fit(self, call: Call, worker: Worker) -> bool:
+        """Whether a worker may have room for a call at all, whatever our own calls take of it.
 
-        A 'full' may be meant for one kind of call only.  It marks the class and the tenant; an answer of
-        either clears its mark, so what is left is what was refused.  The mark doubles with each further one.
+        A 'full' may be meant for one class or tenant only: it marks both, and an answer of either clears
+        its mark, so what is left is what was refused.  The mark doubles with each further refusal.
         """
-        marks = worker.refused
-        if not self._admits(call, worker):
+        if not worker.ready or self.now < max(worker.rest_until, worker.full_until) or self._suspect(worker):
             return False
-        return not marks or all(self.now >= marks[kind].fades for kind in call.kinds if kind in marks)
+        refused = any(self.now < worker.refused[k].fades for k in call.kinds if k in worker.refused)
+        return not refused and self._admits(call, worker)
 
     def _suspect(self, worker: Worker) -> bool:
         """One symptom for hung, paused, crowded and cut-off workers: old work, no outcomes.
@@ -325,20 +306,6 @@
         """
         return worker.inflight > 0 and self.now - max(worker.quiet_since, self.woke) > SILENCE * self.latency
 
-    def _present(self, worker: Worker) -> float:
-        """The part of its capacity that a starting worker has by now, at the slowest warm-up allowed."""
-        left = (worker.warm_at - self.now) / max(1, self.told.cold_us)
-        return 1 - (1 - self.told.cold_share) * min(1.0, max(0.0, left))
-
-    def _warmed(self, worker: Worker) -> bool:
-        """Rule 4: our part of what a starting worker may be sent in any span, one call at the least."""
-        if self.now >= worker.warm_at:
-            return True
-        sent, present = worker.sends.count(self.now - self.told.fall_us), self._present(worker)
-        # One core at the usual latency: no worker has less, so this errs on the safe side.
-        budget = self.told.fall_multiple * present * self.told.fall_us / self.latency / self.told.routers
-        return sent + 1 <= max(1.0, budget)
-
     def _pace(self, worker: Worker) -> float:
         """How long calls take there against their functions' usual time; old news fade into the kind's."""
         usual = self.kind_pace.get(worker.entry.kind, 1.0)
@@ -355,7 +322,9 @@
         """
         part = min(1.0, self.median / self._pace(worker)) ** 2
         if self.now < worker.warm_at:
-            part *= self._present(worker) * min(1.0, self.told.fall_multiple / SURGE)
+            left = min(1.0, (worker.warm_at - self.now) / max(1, self.told.cold_us))
+            part *= 1 - (1 - self.told.cold_share) * left  # the slowest warm-up allowed
+            part *= min(1.0, self.told.fall_multiple / SURGE)
         drawn = ((worker.order ^ call.seq * SPLIT) * SPLIT >> 11 & (2**52 - 1)) / 2**52
         return drawn < part
 
@@ -386,7 +355,7 @@
         attempt = call.attempts[event.attempt]
         attempt.out, attempt.maybe_ran = False, event.status not in io.NEVER_RAN
         attempt.worker.finish(call.function.name)
-        call.function.look_at = 0
+        self.news.add(call.function.name)
         self._learn(attempt, event)
         if event.closed or event.status is Status.OK:
             call.ended = True
@@ -442,10 +411,6 @@
         self.usual[call.band.name] += LEARN * usual * (ratio - 1)
         self._strain(worker, ratio)
         self.latency += LEARN * (min(latency, LATE * self.latency) - self.latency)
-        step = CAP_STEP * max(-2.0, 1 - latency / (CAP_AIM * call.band.target_us))
-        if step < 0 or worker.inflight + 2 > worker.cap:  # only a cap in use grows
-            worker.cap = min(MOST_CAP, max(1.0, worker.cap + step))
-
     def _strain(self, worker: Worker, ratio: float) -> None:
         """One sign of how busy a worker is, against what is usual: a latency, or the calls it holds."""
         usual, pace = self.kind_pace.setdefault(worker.entry.kind, 1.0), self._pace(worker)
@@ -512,18 +477,17 @@
         return True
 
     def _load_failed(self, worker: Worker, function: Function, order: Belief) -> None:
-        """Loads that fail or stall, anywhere: fewer at once, and not here for a while."""
+        """A load that fails or stalls: not here for a while."""
         if worker.coming.get(function.name) is order:
             self._arrived(worker, function)
             worker.shut[function.name] = self.now + int(self.load_us)
-            self.load_cap = max(1.0, self.load_cap / 2)
 
     def _loaded(self, event: io.Loaded) -> None:
         worker, function = self.workers.get(event.worker), self.functions.get(event.function)
         if worker is None or function is None:
             return
         coming, stand = worker.coming.get(function.name), event.copies > 0
-        function.look_at = 0
+        self.news.add(function.name)
         if stand:
             self._believe(worker, function, event.copies)
         if coming and event.status is not Status.OK:
@@ -532,7 +496,6 @@
                 self._rest(worker)
         elif coming and stand:
             self._arrived(worker, function)
-            self.load_cap = min(MOST_LOADS, self.load_cap + 0.5)
             if event.latency_us > FOUND_US:
                 self.load_us += LEARN * (event.latency_us - self.load_us)
                 function.load_us += LEARN * (event.latency_us - function.load_us)
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -99,7 +99,6 @@
     function: Function
     seq: int
     arrived: int
-    over_share: bool
     attempts: list[Attempt] = field(default_factory=list)
     held: bool = False
     ended: bool = False
@@ -147,7 +146,6 @@
     held: int = 0
     coming: int = 0
     holders: dict[str, Worker] = field(default_factory=dict)  # believed to hold a copy
-    look_at: int = 0  # no room found: not looked at again before
     listing: int = -1  # the listing that `shared` was made from
     shared: list[Worker] = field(default_factory=list)  # workers in the order of all routers
     homes: int = 0  # so many of them are homes
@@ -162,7 +160,6 @@
     key: int  # the same at every router
     order: int  # breaks ties in the ranking, by our own number
     memory: float
-    cap: float
     inflight: int = 0
     busy: dict[str, int] = field(default_factory=dict)  # function: in flight
     copies: dict[str, Belief] = field(default_factory=dict)
@@ -232,8 +229,6 @@
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.told, self.seed = settings, seed  # no choice is left to chance so far: the seed is unused
         self.bands = {band.name: band for band in settings.classes}
-        self.quotas = {tenant.name: tenant.quota_rps for tenant in settings.tenants}
-        self.rates: dict[str, Rate] = {}  # of each tenant's calls
         self.workers: dict[str, Worker] = {}
         self.functions: dict[str, Function] = {}
         self.calls: dict[str, Call] = {}
