--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -16,9 +16,11 @@
 from swiftwell.interface import Effect, ListKind, State, Status
 from swiftwell.records import Attempt, Belief, Books, Budget, Call, Function, Line, Rate, Worker, listed
 
-CAP = 16.0  # requests of ours in flight at a worker of the usual size
+FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
+CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
+CAP_AIM = 0.25  # of a class's wanted time: outcomes that take longer lower the cap
 FIRST_LATENCY = 0.25  # of the class's wanted time: a call's time before any outcome has told one
-FIRST_LOAD_US = 800_000  # us: a load's time before any has told one; most small copies load in less
+LOAD_US = 800_000  # us: a load's time where none is told; most small copies load in less
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
 PACE_LEARN = 0.5  # weight of one outcome in a worker's pace: a router with few calls sees few of them
 PACE_US = 10_000_000  # us over which a worker's pace goes back to that of its kind
@@ -28,7 +30,7 @@
 REST_US = 250_000  # us a worker rests after a failure; doubles with each further one
 REST_DOUBLINGS = 4  # doublings of the rest at most: a worker back again is tried within 4 s
 FULL_US = 100_000  # us a worker counts as full when no outcome comes sooner
-FULL_DOUBLINGS = 5  # doublings of that time at most for a class or a tenant that is refused again and again
+REFUSED_US = 1_000_000  # us a worker that turned a class or tenant away gets none of it
 LOOK_US = 50_000  # us until a function that found no room is looked at again, unless its own news come
 RETRY_SHARE, RETRY_BURST = 0.1, 10.0  # further attempts per call taken, and saved up at most
 GROW_WAIT_US = 100_000  # us a call waits for a lane before a further copy is ordered
@@ -38,12 +40,12 @@
 DOUBT = 1.0  # standard deviations taken off a function's count of calls before it spreads
 KEEP_LIVES = 2  # idle lives after its last call for which a function is remembered
 MOST_LOADS = 6  # loads of ours under way at once
-FOUND_US = 50_000  # us: an order answered sooner found its copies standing, and tells no load time
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
 CROWD_US = 1_500_000  # us over which what an answer told of others' calls fades
 CROWD_PART = 0.5  # part of them that counts as in flight: they are old news when told
 SURGE = 8.0  # times its even share that a starting worker may be offered, by bursts and by chance
 STILL_US = 50_000  # us that a timer may come late before we take it that we stood still ourselves
+SPLIT = 0x9E3779B97F4A7C15  # 2**64 over the golden ratio: scatters hashes
 SWEEP_US = 1_000_000  # us between looks at paces and at what can be forgotten
 
 
@@ -51,9 +53,6 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
-SPLIT = 0x9E3779B97F4A7C15  # 2**64 over the golden ratio: scatters hashes
-
-
 class Router(Books):
     """One router's decisions: `handle` takes a batch of events and gives the actions."""
 
@@ -61,8 +60,7 @@
         super().__init__(settings, seed)
         self.retries = Budget(RETRY_BURST, RETRY_BURST)
         self.latency = FIRST_LATENCY * min((band.target_us for band in settings.classes), default=1_000_000)
-        self.load_us = float(FIRST_LOAD_US)
-        self.median, self.weight, self.listing = 1.0, 0.0, 0
+        self.median, self.listing = 1.0, 0
         self.ready: list[Worker] = []
         self.traffic = Rate(RATE_US)
         self.look_at, self.woke = 0, 0
@@ -79,23 +77,15 @@
                 self._watch()
         takers = {io.Request: self._request, io.Outcome: self._outcome}
         takers |= {io.Loaded: self._loaded, io.Members: self._members}
-        self._look_back(events)
-        # Timers last: after a gap of our own an answer may lie beside the timer that would call it late.
+        # After a gap in our own clock, told by a late timer, what was out meanwhile tells nothing of workers:
+        # else all would look silent and slow at once.  Timers go last, as answers may lie beside them.
+        if self.now - min(map(self.due, events), default=now) > STILL_US:
+            self.woke = now
         for event in sorted(events, key=lambda event: isinstance(event, io.Timer)):
             takers.get(type(event), self._note)(event)
         self._dispatch()
         return self.actions
 
-    def _look_back(self, events: list[io.Event]) -> None:
-        """After a gap in our own clock what was out meanwhile tells nothing of the workers.
-
-        Told by a timer that comes late.  It guards against a router that is paused, starved or swapped out:
-        all workers would look silent and slow at once.  A real hang is found one usual wait later.
-        """
-        due = [self.due(event.token) for event in events if isinstance(event, io.Timer)]
-        if self.now - min(due, default=self.now) > STILL_US:
-            self.woke = self.now
-
     def _watch(self) -> None:
         self.actions.append(io.Watch(True))
 
@@ -107,8 +97,6 @@
             self._entry(entry)
         self.listing += 1
         self.ready = [worker for worker in self.workers.values() if worker.ready]
-        weights = [w.entry.weight for w in self.ready]
-        self.weight = sum(weights) / len(weights) if self.told.sized_weights and weights else 0.0
 
     def _entry(self, entry: io.WorkerEntry) -> None:
         worker = self.workers.get(entry.worker)
@@ -116,11 +104,12 @@
         if worker is None:
             order = _hash(f"{entry.worker}/{self.told.position}")
             memory = dict(self.told.kind_memory_mb).get(entry.kind, math.inf)
-            worker = Worker(entry, _hash(entry.worker), order, memory)
+            worker = Worker(entry, _hash(entry.worker), order, memory, FIRST_CAP)
             self.workers[entry.worker], worker.warm_at = worker, warm_at
         elif entry.started_us != worker.entry.started_us:  # beliefs die with the process
             self._forget(worker)
-            worker.failures, worker.rest_until, worker.pace_at, worker.warm_at = 0, 0, 0, warm_at
+            worker.failures, worker.rest_until, worker.pace_at, worker.cap = 0, 0, 0, FIRST_CAP
+            worker.warm_at = warm_at
         worker.entry = entry
         if entry.state is State.GONE:
             self._forget(worker)
@@ -128,7 +117,7 @@
     def _request(self, request: io.Request) -> None:
         band, function = self.bands[request.band], self.functions.get(request.function)
         if function is None:
-            name, load = request.function, request.load_us or self.load_us
+            name, load = request.function, request.load_us or LOAD_US
             function = self.functions[name] = Function(name, _hash(name), 0.0, 1, load, Rate(RATE_US))
         function.memory, function.lanes = request.memory_mb, request.lanes
         function.rate.add(self.now)
@@ -142,34 +131,31 @@
         self._hold(call)
 
     def _hold(self, call: Call) -> None:
-        """Put a call in line; one bound to a group waits apart, so that it blocks nobody.
-
-        Calls that can't be in time any more wait behind all others, against overload.  Under a lasting
-        overload they are never served.
-        """
+        """Put a call in its function's line; one bound to a group waits apart, so that it blocks nobody."""
         bound = call.bound()
-        group = bound.worker.group(call.band) if bound else ""
-        call.hold()
-        second = self.now + self._usual(call) > call.aim
+        call.held = True
         self.news.add(call.function.name)
-        self.lines.setdefault((int(second), call.function.name, group), deque()).append(call)
+        line = call.function.name, bound.worker.group(call.band) if bound else ""
+        self.lines.setdefault(line, deque()).append(call)
 
     def _usual(self, call: Call) -> float:
-        return self.usual[call.band.name]
+        """The usual time of the call's class; at most half of what is wanted, so that a slow fleet serves."""
+        return min(self.usual[call.band.name], call.band.target_us / 2)
 
     def _head(self, line: Line) -> Call | None:
-        """The first call of a line that waits; late ones change line, hopeless ones are answered."""
+        """The first call of a line that waits and can still be in time; one that can't is answered now.
+
+        Against overload: a call started too late takes the room of one that is in time.  It may hurt where
+        late answers are worth much; the client's next try then still gets one.
+        """
         queue = self.lines[line]
         while queue:
             call = queue[0]
-            usual = self._usual(call)
-            if call.held and self.now + usual <= (call.deadline if line[0] else call.aim):
+            if call.held and self.now + self._usual(call) <= call.aim:
                 return call
             queue.popleft()
-            if call.held and line[0] == 0:
-                self._hold(call)
-            elif call.held:
-                call.release()
+            if call.held:
+                call.held = False
                 if not call.outstanding():
                     self._finish(call)
         del self.lines[line]
@@ -178,18 +164,18 @@
     def _dispatch(self) -> None:
         """Place held calls, oldest first; a function that finds no room blocks only itself."""
         heads, look = [], self.now >= self.look_at
-        for line in [line for line in self.lines if look or line[1] in self.news]:
+        for line in [line for line in self.lines if look or line[0] in self.news]:
             if call := self._head(line):
-                heads.append((line[0], call.seq, line))
+                heads.append((call.seq, line))
         self.news.clear()
         heapq.heapify(heads)
         while heads:
-            _, _, line = heapq.heappop(heads)
+            _, line = heapq.heappop(heads)
             call = self._head(line) if line in self.lines else None
             if call and self._place(call):
                 self.lines[line].popleft()
                 if call := self._head(line):
-                    heapq.heappush(heads, (line[0], call.seq, line))
+                    heapq.heappush(heads, (call.seq, line))
         if self.lines and look:
             self.look_at = self.now + LOOK_US
             self._after(LOOK_US, lambda: None)  # a batch then, to look again
@@ -215,7 +201,7 @@
         for worker in workers:
             copies = worker.believed(function.name, self.now)
             rank = (copies > 0, worker.inflight, worker.order)
-            capped = worker.inflight >= max(1.0, CAP * self._size(worker))
+            capped = worker.inflight >= int(worker.cap)
             if rank < best_rank or worker in tried or capped or not self._fit(call, worker):
                 continue
             at_work = worker.busy.get(function.name, 0) + self._crowd(worker, function)
@@ -261,13 +247,9 @@
             function.homes, function.order = homes, ours + function.shared[homes:]
         return max(1, math.ceil(lanes))
 
-    def _distance(self, worker: Worker, function: Function) -> float:
-        """The order of workers for a function, the same at all routers; larger ones come early more often."""
-        mixed = ((worker.key ^ function.key) * SPLIT >> 11) & (2**52 - 1)
-        return -math.log((mixed + 1) / 2**52) / self._size(worker)
-
-    def _size(self, worker: Worker) -> float:
-        return max(0.01, worker.entry.weight / self.weight) if self.weight else 1.0
+    def _distance(self, worker: Worker, function: Function) -> int:
+        """The order of workers for a function, the same at all routers."""
+        return (worker.key ^ function.key) * SPLIT % 2**64
 
     def _crowd(self, worker: Worker, function: Function) -> float:
         """What counts as in flight beside our own: others' calls as an answer told them, fading."""
@@ -292,12 +274,13 @@
         """Whether a worker may have room for a call at all, whatever our own calls take of it.
 
         A 'full' may be meant for one class or tenant only: it marks both, and an answer of either clears
-        its mark, so what is left is what was refused.  The mark doubles with each further refusal.
+        its mark, so what is left is what was refused.
         """
         if not worker.ready or self.now < max(worker.rest_until, worker.full_until) or self._suspect(worker):
             return False
-        refused = any(self.now < worker.refused[k].fades for k in call.kinds if k in worker.refused)
-        return not refused and self._admits(call, worker)
+        if any(self.now < worker.refused.get(kind, 0) for kind in call.kinds):
+            return False
+        return self._warmed(worker) and self._admits(call, worker)
 
     def _suspect(self, worker: Worker) -> bool:
         """One symptom for hung, paused, crowded and cut-off workers: old work, no outcomes.
@@ -322,11 +305,22 @@
         """
         part = min(1.0, self.median / self._pace(worker)) ** 2
         if self.now < worker.warm_at:
-            left = min(1.0, (worker.warm_at - self.now) / max(1, self.told.cold_us))
-            part *= 1 - (1 - self.told.cold_share) * left  # the slowest warm-up allowed
-            part *= min(1.0, self.told.fall_multiple / SURGE)
-        drawn = ((worker.order ^ call.seq * SPLIT) * SPLIT >> 11 & (2**52 - 1)) / 2**52
-        return drawn < part
+            part *= self._present(worker) * min(1.0, self.told.fall_multiple / SURGE)
+        draw = (worker.order ^ (call.seq + len(call.attempts) * SPLIT) * SPLIT) * SPLIT % 2**64
+        return draw < part * 2**64
+
+    def _present(self, worker: Worker) -> float:
+        """The part of its capacity that a starting worker has by now, at the slowest warm-up allowed."""
+        left = min(1.0, (worker.warm_at - self.now) / max(1, self.told.cold_us))
+        return 1 - (1 - self.told.cold_share) * left
+
+    def _warmed(self, worker: Worker) -> bool:
+        """Rule 4 among few routers: our part of what a starting worker may be sent, one call at the least."""
+        if self.now >= worker.warm_at:
+            return True
+        # One core at the usual latency: no worker has less, so this errs on the safe side.
+        span = self.told.fall_multiple * self._present(worker) * self.told.fall_us / self.latency
+        return worker.sends.count(self.now - self.told.fall_us) < max(1.0, int(span / self.told.routers))
 
     def _may_send(self, call: Call, worker: Worker) -> bool:
         """Rule 2: where this call may go, given what its earlier attempts may have done."""
@@ -339,7 +333,7 @@
 
     def _send(self, call: Call, worker: Worker, cold: bool) -> None:
         function = call.function
-        call.release()
+        call.held = False
         attempt = Attempt(call, len(call.attempts), worker, self.now, cold)
         call.attempts.append(attempt)
         worker.begin(function.name, self.now)
@@ -381,17 +375,13 @@
             case Status.OK:
                 worker.full_until, worker.failures = 0, 0
                 for kind in attempt.call.kinds:
-                    if kind in worker.refused:
-                        worker.refused[kind] = Belief(worker.refused[kind].count // 2, 0.0, now, 0)
+                    worker.refused.pop(kind, None)
                 self._believe(worker, function, max(1, worker.believed(function.name, now)))
                 if not attempt.cold and event.note & 7 in (0, 1):
                     self._timed(attempt, event.latency_us)
             case Status.FULL:
                 worker.full_until = now + FULL_US
-                for kind in attempt.call.kinds:
-                    times = worker.refused[kind].count if kind in worker.refused else 0
-                    until = now + (FULL_US << min(times, FULL_DOUBLINGS))
-                    worker.refused[kind] = Belief(times + 1, 0.0, now, until)
+                worker.refused |= dict.fromkeys(attempt.call.kinds, now + REFUSED_US)
             case Status.MISS:
                 worker.copies.pop(function.name, None)
             case Status.RESET | Status.CONNECT_FAILED:
@@ -411,6 +401,10 @@
         self.usual[call.band.name] += LEARN * usual * (ratio - 1)
         self._strain(worker, ratio)
         self.latency += LEARN * (min(latency, LATE * self.latency) - self.latency)
+        step = CAP_STEP * max(-2.0, 1 - latency / (CAP_AIM * call.band.target_us))
+        if step < 0 or worker.inflight + 2 > worker.cap:  # only a cap in use grows
+            worker.cap = min(MOST_CAP, max(1.0, worker.cap + step))
+
     def _strain(self, worker: Worker, ratio: float) -> None:
         """One sign of how busy a worker is, against what is usual: a latency, or the calls it holds."""
         usual, pace = self.kind_pace.setdefault(worker.entry.kind, 1.0), self._pace(worker)
@@ -472,7 +466,7 @@
         if name not in worker.coming and not worker.believed(name, self.now):
             worker.coming[name] = Belief(1, function.memory, self.now, 0)
             function.coming, self.loading = function.coming + 1, self.loading + 1
-            stall = LOAD_STALL * max(function.load_us, self.load_us)
+            stall = LOAD_STALL * function.load_us
             self._after(stall, self._load_failed, worker, function, worker.coming[name])
         return True
 
@@ -480,7 +474,7 @@
         """A load that fails or stalls: not here for a while."""
         if worker.coming.get(function.name) is order:
             self._arrived(worker, function)
-            worker.shut[function.name] = self.now + int(self.load_us)
+            worker.shut[function.name] = self.now + int(function.load_us)
 
     def _loaded(self, event: io.Loaded) -> None:
         worker, function = self.workers.get(event.worker), self.functions.get(event.function)
@@ -496,9 +490,6 @@
                 self._rest(worker)
         elif coming and stand:
             self._arrived(worker, function)
-            if event.latency_us > FOUND_US:
-                self.load_us += LEARN * (event.latency_us - self.load_us)
-                function.load_us += LEARN * (event.latency_us - function.load_us)
 
     def _sweep(self) -> None:
         """Now and then: the fleet's median pace, and what can be forgotten."""
@@ -510,5 +501,5 @@
             worker.tidy(self.now, self.now - self.told.fall_us)
         for function in list(self.functions.values()):
             idle = self.now - function.rate.at > KEEP_LIVES * self.told.idle_life_us
-            if idle and not (function.held or function.coming):
+            if idle and not function.coming:
                 del self.functions[function.name]
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -115,7 +115,7 @@
 
     @property
     def aim(self) -> int:
-        return self.arrived + self.band.target_us
+        return self.arrived + min(self.band.target_us, self.request.left_us)
 
     def bound(self) -> Attempt | None:
         """The first attempt that may have run: it binds where further ones may go."""
@@ -124,14 +124,6 @@
     def outstanding(self) -> bool:
         return any(a.out for a in self.attempts)
 
-    def hold(self) -> None:
-        self.function.held += not self.held
-        self.held = True
-
-    def release(self) -> None:
-        self.function.held -= self.held
-        self.held = False
-
 
 @dataclass(slots=True, eq=False)
 class Function:
@@ -143,7 +135,6 @@
     lanes: int
     load_us: float
     rate: Rate
-    held: int = 0
     coming: int = 0
     holders: dict[str, Worker] = field(default_factory=dict)  # believed to hold a copy
     listing: int = -1  # the listing that `shared` was made from
@@ -160,13 +151,14 @@
     key: int  # the same at every router
     order: int  # breaks ties in the ranking, by our own number
     memory: float
+    cap: float
     inflight: int = 0
     busy: dict[str, int] = field(default_factory=dict)  # function: in flight
     copies: dict[str, Belief] = field(default_factory=dict)
     coming: dict[str, Belief] = field(default_factory=dict)  # ordered at `since`, not yet standing
     shut: dict[str, int] = field(default_factory=dict)  # function: no new copy before
     crowds: dict[str, Belief] = field(default_factory=dict)  # function: others' calls, as told last
-    refused: dict[str, Belief] = field(default_factory=dict)  # class or tenant: turned away so often, until
+    refused: dict[str, int] = field(default_factory=dict)  # class or tenant: turned away, none before
     sends: Window = field(default_factory=Window)
     quiet_since: int = 0
     full_until: int = 0
@@ -216,11 +208,11 @@
         self.sends.count(since)
         self.copies = {n: b for n, b in self.copies.items() if self.believed(n, now)}
         self.crowds = {n: told for n, told in self.crowds.items() if now < told.fades}
-        self.refused = {n: m for n, m in self.refused.items() if now < 3 * m.fades - 2 * m.since}
+        self.refused = {kind: until for kind, until in self.refused.items() if until > now}
         self.shut = {name: until for name, until in self.shut.items() if until > now}
 
 
-Line = tuple[int, str, str]  # class of service (0 first), function, group that a repeat is bound to
+Line = tuple[str, str]  # function, group that a repeat is bound to
 
 
 class Books:
@@ -246,9 +238,10 @@
         self._timers[self.seq] = (act, args, self.now + max(0, int(delay)))
         self.actions.append(io.SetTimer(max(0, int(delay)), self.seq))
 
-    def due(self, token: int) -> int:
-        """When a timer of ours was due."""
-        return self._timers[token][2] if token in self._timers else self.now
+    def due(self, event: io.Event) -> int:
+        """When an event was due, if it is a timer of ours; else now."""
+        ours = isinstance(event, io.Timer) and event.token in self._timers
+        return self._timers[event.token][2] if ours else self.now
 
     def _note(self, event: io.Event) -> None:
         """Events that only change the books; probes and messages of peers are not made use of."""
@@ -262,8 +255,7 @@
 
     def _end(self, call: Call) -> None:
         """A call has its final answer; it stays in the books while attempts are out."""
-        call.ended = True
-        call.release()
+        call.ended, call.held = True, False
         if not call.outstanding():
             self.calls.pop(call.request.id, None)
 
