--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -7,14 +7,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import heapq
 import math
 from collections import deque
 
 from swiftwell import interface as io
+from swiftwell import records as rec
 from swiftwell.interface import Effect, ListKind, State, Status
-from swiftwell.records import Attempt, Belief, Books, Budget, Call, Function, Line, Rate, Worker, listed
 
 FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
 CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
@@ -24,20 +23,22 @@
 LEARN = 0.1  # weight of one outcome in the running means of latency and load time
 PACE_LEARN = 0.5  # weight of one outcome in a worker's pace: a router with few calls sees few of them
 PACE_US = 10_000_000  # us over which a worker's pace goes back to that of its kind
-SILENCE = 4.0  # times the usual latency without an outcome: no room until the next one
-LATE = 5.0  # times the usual latency: an attempt is late, another may be made
+LATE = (
+    4.0  # times the usual latency: an attempt is late, another may be made; so long silent, a worker is hung
+)
 TRIAL_US = 1_000_000  # us between calls to a failing discovery
 REST_US = 250_000  # us a worker rests after a failure; doubles with each further one
 REST_DOUBLINGS = 4  # doublings of the rest at most: a worker back again is tried within 4 s
 FULL_US = 100_000  # us a worker counts as full when no outcome comes sooner
 REFUSED_US = 1_000_000  # us a worker that turned a class or tenant away gets none of it
-LOOK_US = 50_000  # us until a function that found no room is looked at again, unless its own news come
+LOOK_US = 100_000  # us until a function that found no room is looked at again, unless its own news come
 RETRY_SHARE, RETRY_BURST = 0.1, 10.0  # further attempts per call taken, and saved up at most
 GROW_WAIT_US = 100_000  # us a call waits for a lane before a further copy is ordered
 HEADROOM = 2.0  # lanes wanted for each call at work: arrivals are uneven
 RATE_US = 10_000_000  # us over which arrivals are averaged: long enough for routers with few calls
 SPREAD = 3.0  # homes a function has for each worker that its part of our calls would fill: evens them out
 DOUBT = 1.0  # standard deviations taken off a function's count of calls before it spreads
+PASSES = 8  # workers beyond its homes that a call passes on to at most
 KEEP_LIVES = 2  # idle lives after its last call for which a function is remembered
 MOST_LOADS = 6  # loads of ours under way at once
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
@@ -49,25 +50,15 @@
 SWEEP_US = 1_000_000  # us between looks at paces and at what can be forgotten
 
 
-def _hash(text: str) -> int:
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-class Router(Books):
+class Router(rec.Books):
     """One router's decisions: `handle` takes a batch of events and gives the actions."""
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.retries = Budget(RETRY_BURST, RETRY_BURST)
+        self.retries = rec.Budget(RETRY_BURST, RETRY_BURST)
         self.latency = FIRST_LATENCY * min((band.target_us for band in settings.classes), default=1_000_000)
-        self.median, self.listing = 1.0, 0
-        self.ready: list[Worker] = []
-        self.traffic = Rate(RATE_US)
-        self.look_at, self.woke = 0, 0
-        self.news: set[str] = set()  # functions to look at in this batch
-        self.kind_pace: dict[str, float] = {}
+        self.traffic = rec.Rate(RATE_US)
         self.usual = {band.name: FIRST_LATENCY * band.target_us for band in settings.classes}
-        self.usual_held = 0.0
 
     def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -93,7 +84,7 @@
         if event.how is ListKind.FAILED:  # the old list holds; ask again, but not at once
             self._after(TRIAL_US, self._watch)
             return
-        for entry in listed(event, [worker.entry for worker in self.workers.values()]):
+        for entry in rec.listed(event, [worker.entry for worker in self.workers.values()]):
             self._entry(entry)
         self.listing += 1
         self.ready = [worker for worker in self.workers.values() if worker.ready]
@@ -102,9 +93,9 @@
         worker = self.workers.get(entry.worker)
         warm_at = entry.started_us + self.told.cold_us if entry.started_us else 0
         if worker is None:
-            order = _hash(f"{entry.worker}/{self.told.position}")
+            order = rec.stable_hash(f"{entry.worker}/{self.told.position}")
             memory = dict(self.told.kind_memory_mb).get(entry.kind, math.inf)
-            worker = Worker(entry, _hash(entry.worker), order, memory, FIRST_CAP)
+            worker = rec.Worker(entry, rec.stable_hash(entry.worker), order, memory, FIRST_CAP)
             self.workers[entry.worker], worker.warm_at = worker, warm_at
         elif entry.started_us != worker.entry.started_us:  # beliefs die with the process
             self._forget(worker)
@@ -118,19 +109,22 @@
         band, function = self.bands[request.band], self.functions.get(request.function)
         if function is None:
             name, load = request.function, request.load_us or LOAD_US
-            function = self.functions[name] = Function(name, _hash(name), 0.0, 1, load, Rate(RATE_US))
+            function = self.functions[name] = rec.Function(
+                name, rec.stable_hash(name), 0.0, 1, load, rec.Rate(RATE_US)
+            )
         function.memory, function.lanes = request.memory_mb, request.lanes
         function.rate.add(self.now)
         self.traffic.add(self.now)
         self.retries.earn(RETRY_SHARE)
         self.taken.add(self.now)
-        call = Call(request, band, function, self.seq, self.now)
+        kinds = f"class {band.name}", f"tenant {request.tenant}"  # what a worker may tell calls apart by
+        call = rec.Call(request, band, function, self.seq, self.now, kinds)
         self.calls[request.id] = call
         # Two ticks early: timers land on the next tick, and the answer must precede the deadline.
         self._after(request.left_us - 2 * self.told.tick_us, self._finish, call)
         self._hold(call)
 
-    def _hold(self, call: Call) -> None:
+    def _hold(self, call: rec.Call) -> None:
         """Put a call in its function's line; one bound to a group waits apart, so that it blocks nobody."""
         bound = call.bound()
         call.held = True
@@ -138,11 +132,11 @@
         line = call.function.name, bound.worker.group(call.band) if bound else ""
         self.lines.setdefault(line, deque()).append(call)
 
-    def _usual(self, call: Call) -> float:
+    def _usual(self, call: rec.Call) -> float:
         """The usual time of the call's class; at most half of what is wanted, so that a slow fleet serves."""
         return min(self.usual[call.band.name], call.band.target_us / 2)
 
-    def _head(self, line: Line) -> Call | None:
+    def _head(self, line: rec.Line) -> rec.Call | None:
         """The first call of a line that waits and can still be in time; one that can't is answered now.
 
         Against overload: a call started too late takes the room of one that is in time.  It may hurt where
@@ -180,20 +174,22 @@
             self.look_at = self.now + LOOK_US
             self._after(LOOK_US, lambda: None)  # a batch then, to look again
 
-    def _place(self, call: Call) -> bool:
+    def _place(self, call: rec.Call) -> bool:
         """Send a call to the worker chosen for it, or order a copy at a seat and go on holding."""
         function, seats = call.function, self._seats(call)
         worker, warm = self._choose(call, seats)
         if worker and not warm:
             ordered = self.told.may_load and (function.coming or self._order(worker, function))
             if ordered or self.told.misses:  # meanwhile a copy elsewhere may serve
-                worker, warm = self._choose(call, self._holders(function))
+                held = {n: w for n, w in function.holders.items() if w.believed(function.name, self.now)}
+                function.holders = held
+                worker, warm = self._choose(call, list(held.values()))
         if worker is None or (self.told.misses and self.told.may_load and not warm):
             return False
         self._send(call, worker, not warm)
         return True
 
-    def _choose(self, call: Call, workers: list[Worker]) -> tuple[Worker | None, bool]:
+    def _choose(self, call: rec.Call, workers: list[rec.Worker]) -> tuple[rec.Worker | None, bool]:
         """The ranking: warm first, then most of our own in flight, then the tie hash."""
         function = call.function
         tried = [a.worker for a in call.attempts if a.out]
@@ -210,29 +206,24 @@
                 best, best_rank = worker, rank
         return best, best_rank[0]
 
-    def _holders(self, function: Function) -> list[Worker]:
-        """The workers believed to hold a copy; what has faded is dropped."""
-        function.holders = {n: w for n, w in function.holders.items() if w.believed(function.name, self.now)}
-        return list(function.holders.values())
-
-    def _seats(self, call: Call) -> list[Worker]:
+    def _seats(self, call: rec.Call) -> list[rec.Worker]:
         """The few workers where a function of ours may have room: our seats among its homes.
 
         A function's homes are the first workers of an order that all routers share, as many as its part of
         our calls is of the fleet, so that routers which never talk meet at the same copies.  Of these we
         take as many as our own calls need, by the tie hash.  A home that is not fit passes its place on.
         """
-        function, seats = call.function, []
-        need = self._reach(function, self._usual(call))
-        need += self.now - call.arrived > GROW_WAIT_US
-        for worker in function.order:
+        function, seats, starting = call.function, [], 0
+        need = self._reach(function, self._usual(call)) + (self.now - call.arrived > GROW_WAIT_US)
+        for worker in function.order[: function.homes + PASSES]:
             if self._crowd(worker, function) < function.lanes and self._fit(call, worker):
                 seats.append(worker)
-                if len(seats) == need:
-                    break
+            starting += self.now < worker.warm_at
+            if len(seats) == need or starting > need:  # else all passed on would land on starting workers
+                break
         return seats
 
-    def _reach(self, function: Function, usual: float) -> int:
+    def _reach(self, function: rec.Function, usual: float) -> int:
         """How many seats our calls of a function need; its homes come first in its order, ours before all."""
         lanes = HEADROOM * function.rate.per_us(self.now) * usual / function.lanes
         calls = function.rate.total
@@ -247,16 +238,16 @@
             function.homes, function.order = homes, ours + function.shared[homes:]
         return max(1, math.ceil(lanes))
 
-    def _distance(self, worker: Worker, function: Function) -> int:
+    def _distance(self, worker: rec.Worker, function: rec.Function) -> int:
         """The order of workers for a function, the same at all routers."""
         return (worker.key ^ function.key) * SPLIT % 2**64
 
-    def _crowd(self, worker: Worker, function: Function) -> float:
+    def _crowd(self, worker: rec.Worker, function: rec.Function) -> float:
         """What counts as in flight beside our own: others' calls as an answer told them, fading."""
         told = worker.crowds.get(function.name)
         return CROWD_PART * told.count * math.exp((told.since - self.now) / CROWD_US) if told else 0.0
 
-    def _fits(self, worker: Worker, function: Function) -> bool:
+    def _fits(self, worker: rec.Worker, function: rec.Function) -> bool:
         """Cold room: memory for one more copy in our own account, and none coming or just failed."""
         if function.name in worker.coming or self.now < worker.shut.get(function.name, 0):
             return False
@@ -264,13 +255,13 @@
             return False
         return worker.memory_used(self.now) + function.memory <= worker.memory
 
-    def _believe(self, worker: Worker, function: Function, count: int) -> None:
+    def _believe(self, worker: rec.Worker, function: rec.Function, count: int) -> None:
         """A belief rests on a send or an answer and fades past the told idle life."""
         fades = self.now + self.told.idle_life_us
-        worker.copies[function.name] = Belief(count, function.memory, self.now, fades)
+        worker.copies[function.name] = rec.Belief(count, function.memory, self.now, fades)
         function.holders[worker.entry.worker] = worker
 
-    def _fit(self, call: Call, worker: Worker) -> bool:
+    def _fit(self, call: rec.Call, worker: rec.Worker) -> bool:
         """Whether a worker may have room for a call at all, whatever our own calls take of it.
 
         A 'full' may be meant for one class or tenant only: it marks both, and an answer of either clears
@@ -278,23 +269,23 @@
         """
         if not worker.ready or self.now < max(worker.rest_until, worker.full_until) or self._suspect(worker):
             return False
-        if any(self.now < worker.refused.get(kind, 0) for kind in call.kinds):
+        if worker.refused and any(self.now < worker.refused.get(kind, 0) for kind in call.kinds):
             return False
-        return self._warmed(worker) and self._admits(call, worker)
+        return self._admits(call, worker)
 
-    def _suspect(self, worker: Worker) -> bool:
+    def _suspect(self, worker: rec.Worker) -> bool:
         """One symptom for hung, paused, crowded and cut-off workers: old work, no outcomes.
 
         It may hurt when a single long call is all that a worker has; the next outcome ends it.
         """
-        return worker.inflight > 0 and self.now - max(worker.quiet_since, self.woke) > SILENCE * self.latency
+        return worker.inflight > 0 and self.now - max(worker.quiet_since, self.woke) > LATE * self.latency
 
-    def _pace(self, worker: Worker) -> float:
+    def _pace(self, worker: rec.Worker) -> float:
         """How long calls take there against their functions' usual time; old news fade into the kind's."""
         usual = self.kind_pace.get(worker.entry.kind, 1.0)
         return usual + (worker.pace - usual) * math.exp((worker.pace_at - self.now) / PACE_US)
 
-    def _admits(self, call: Call, worker: Worker) -> bool:
+    def _admits(self, call: rec.Call, worker: rec.Worker) -> bool:
         """A slow or starting worker admits only a part of our calls: what it can do of what others can.
 
         Slow, crowded, shared, ageing and starting workers and weak kinds are answered alike, by a part that
@@ -305,24 +296,19 @@
         """
         part = min(1.0, self.median / self._pace(worker)) ** 2
         if self.now < worker.warm_at:
-            part *= self._present(worker) * min(1.0, self.told.fall_multiple / SURGE)
-        draw = (worker.order ^ (call.seq + len(call.attempts) * SPLIT) * SPLIT) * SPLIT % 2**64
+            if call.attempts:  # what was turned away elsewhere must not add up here
+                return False
+            left = min(1.0, (worker.warm_at - self.now) / max(1, self.told.cold_us))
+            present = 1 - (1 - self.told.cold_share) * left  # of its capacity, at the slowest warm-up allowed
+            # Among few routers also our part of what one core takes at the usual time: no worker has less.
+            span = self.told.fall_multiple * present * self.told.fall_us / self.latency
+            if worker.sends.count(self.now - self.told.fall_us) >= max(1, int(span / self.told.routers)):
+                return False
+            part *= present * min(1.0, self.told.fall_multiple / SURGE)
+        draw = (worker.order ^ call.seq * SPLIT) * SPLIT % 2**64
         return draw < part * 2**64
 
-    def _present(self, worker: Worker) -> float:
-        """The part of its capacity that a starting worker has by now, at the slowest warm-up allowed."""
-        left = min(1.0, (worker.warm_at - self.now) / max(1, self.told.cold_us))
-        return 1 - (1 - self.told.cold_share) * left
-
-    def _warmed(self, worker: Worker) -> bool:
-        """Rule 4 among few routers: our part of what a starting worker may be sent, one call at the least."""
-        if self.now >= worker.warm_at:
-            return True
-        # One core at the usual latency: no worker has less, so this errs on the safe side.
-        span = self.told.fall_multiple * self._present(worker) * self.told.fall_us / self.latency
-        return worker.sends.count(self.now - self.told.fall_us) < max(1.0, int(span / self.told.routers))
-
-    def _may_send(self, call: Call, worker: Worker) -> bool:
+    def _may_send(self, call: rec.Call, worker: rec.Worker) -> bool:
         """Rule 2: where this call may go, given what its earlier attempts may have done."""
         bound = call.bound()
         if bound is None or call.band.effect is Effect.SAFE:
@@ -331,10 +317,10 @@
             return False
         return self.now < bound.sent + call.band.memory_us - 2 * self.told.tick_us
 
-    def _send(self, call: Call, worker: Worker, cold: bool) -> None:
+    def _send(self, call: rec.Call, worker: rec.Worker, cold: bool) -> None:
         function = call.function
         call.held = False
-        attempt = Attempt(call, len(call.attempts), worker, self.now, cold)
+        attempt = rec.Attempt(call, len(call.attempts), worker, self.now, cold)
         call.attempts.append(attempt)
         worker.begin(function.name, self.now)
         if cold:
@@ -358,7 +344,7 @@
         if call.ended:
             self._end(call)
 
-    def _learn(self, attempt: Attempt, event: io.Outcome) -> None:
+    def _learn(self, attempt: rec.Attempt, event: io.Outcome) -> None:
         worker, function, now = attempt.worker, attempt.call.function, self.now
         held = dict(event.report).get("rif")
         if held is not None:
@@ -368,7 +354,7 @@
             self._strain(worker, LATE)
         if self.told.tells_crowd and event.status in (Status.OK, Status.FULL):
             others = max(0, (event.note >> 3) - worker.busy.get(function.name, 0))
-            worker.crowds[function.name] = Belief(others, 0.0, now, now + 4 * CROWD_US)
+            worker.crowds[function.name] = rec.Belief(others, 0.0, now, now + 4 * CROWD_US)
         if event.status in (Status.OK, Status.FULL, Status.MISS):
             worker.quiet_since = now
         match event.status:
@@ -391,7 +377,7 @@
             case Status.TIMEOUT if not attempt.call.ended:
                 self._rest(worker)
 
-    def _timed(self, attempt: Attempt, latency: int) -> None:
+    def _timed(self, attempt: rec.Attempt, latency: int) -> None:
         """Learn from how long an answer took: the function's time, the worker's pace and its cap."""
         worker, call = attempt.worker, attempt.call
         if attempt.sent < self.woke:
@@ -405,17 +391,17 @@
         if step < 0 or worker.inflight + 2 > worker.cap:  # only a cap in use grows
             worker.cap = min(MOST_CAP, max(1.0, worker.cap + step))
 
-    def _strain(self, worker: Worker, ratio: float) -> None:
+    def _strain(self, worker: rec.Worker, ratio: float) -> None:
         """One sign of how busy a worker is, against what is usual: a latency, or the calls it holds."""
         usual, pace = self.kind_pace.setdefault(worker.entry.kind, 1.0), self._pace(worker)
         self.kind_pace[worker.entry.kind] += LEARN * (ratio - usual)
         worker.pace, worker.pace_at = pace + PACE_LEARN * (ratio - pace), self.now
 
-    def _rest(self, worker: Worker) -> None:
+    def _rest(self, worker: rec.Worker) -> None:
         worker.rest_until = self.now + (REST_US << min(worker.failures, REST_DOUBLINGS))
         worker.failures += 1
 
-    def _again(self, call: Call) -> None:
+    def _again(self, call: rec.Call) -> None:
         """After a failed attempt: hold the call for another, or answer it.
 
         Attempts after one that may have run feed an overload, so they are rationed.
@@ -427,7 +413,7 @@
         else:
             self._hold(call)
 
-    def _late(self, attempt: Attempt) -> None:
+    def _late(self, attempt: rec.Attempt) -> None:
         """An attempt old for its function: the worker looks slower; if suspect, another may start."""
         call, told = attempt.call, self.told
         if not attempt.out or call.ended or call.streaming:
@@ -446,7 +432,7 @@
         elif not told.second_copies and told.may_cancel and self.retries.left >= 1:
             self.actions.append(io.Cancel(call.request.id, attempt.number))
 
-    def _finish(self, call: Call) -> None:
+    def _finish(self, call: rec.Call) -> None:
         """Rule 1: the one final answer, a refusal where it is true that nothing ran."""
         if call.ended or call.streaming:
             return
@@ -455,7 +441,7 @@
         self.actions.append(io.Refuse(call.request.id, 0) if harmless else io.Fail(call.request.id))
         self._end(call)
 
-    def _order(self, worker: Worker, function: Function) -> bool:
+    def _order(self, worker: rec.Worker, function: rec.Function) -> bool:
         """Order a copy, within the ration (rule 5): every order counts, in a sliding window."""
         told, name, since = self.told, function.name, self.now - self.told.load_window_us
         allowed = told.load_free + told.load_share * self.taken.count(since + 1)
@@ -464,13 +450,13 @@
         self.orders.add(self.now)
         self.actions.append(io.Load(worker.entry.worker, name, 1))
         if name not in worker.coming and not worker.believed(name, self.now):
-            worker.coming[name] = Belief(1, function.memory, self.now, 0)
+            worker.coming[name] = rec.Belief(1, function.memory, self.now, 0)
             function.coming, self.loading = function.coming + 1, self.loading + 1
             stall = LOAD_STALL * function.load_us
             self._after(stall, self._load_failed, worker, function, worker.coming[name])
         return True
 
-    def _load_failed(self, worker: Worker, function: Function, order: Belief) -> None:
+    def _load_failed(self, worker: rec.Worker, function: rec.Function, order: rec.Belief) -> None:
         """A load that fails or stalls: not here for a while."""
         if worker.coming.get(function.name) is order:
             self._arrived(worker, function)
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 from collections import deque
 from collections.abc import Callable
@@ -10,6 +11,11 @@
 from swiftwell import interface as io
 
 
+def stable_hash(text: str) -> int:
+    """The same number for a text in every process."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
 def listed(event: io.Members, known: list[io.WorkerEntry]) -> list[io.WorkerEntry]:
     """The entries an update changes; a worker that a full list leaves out has gone."""
     entries = list(event.entries)
@@ -99,16 +105,12 @@
     function: Function
     seq: int
     arrived: int
+    kinds: tuple[str, ...]
     attempts: list[Attempt] = field(default_factory=list)
     held: bool = False
     ended: bool = False
     streaming: bool = False
 
-    @property
-    def kinds(self) -> tuple[str, str]:
-        """What a worker may tell calls apart by."""
-        return f"class {self.band.name}", f"tenant {self.request.tenant}"
-
     @property
     def deadline(self) -> int:
         return self.arrived + self.request.left_us
@@ -222,10 +224,18 @@
         self.told, self.seed = settings, seed  # no choice is left to chance so far: the seed is unused
         self.bands = {band.name: band for band in settings.classes}
         self.workers: dict[str, Worker] = {}
+        self.ready: list[Worker] = []  # of the list of workers that is numbered `listing`
+        self.listing = 0
         self.functions: dict[str, Function] = {}
         self.calls: dict[str, Call] = {}
         self.lines: dict[Line, deque[Call]] = {}
         self.taken, self.orders = Window(), Window()
+        self.news: set[str] = set()  # functions to look at in this batch
+        self.look_at = 0  # when all of them are looked at again
+        self.woke = 0  # the end of the last gap in our own clock
+        self.median = 1.0  # pace of the ready workers
+        self.kind_pace: dict[str, float] = {}
+        self.usual_held = 0.0  # calls that workers say they hold
         self.loading = 0  # copies ordered that do not stand yet
         self.now = 0
         self.seq = 0  # numbers calls and timers in order
