--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -218,7 +218,7 @@
             function.listing, function.homes = self.listing, 0
             function.shared = sorted(self.ready, key=lambda w: (w.key ^ function.key) * SPLIT % 2**64)
         if function.homes != homes:
-            ours = sorted(function.shared[:homes], key=lambda worker: -worker.order)
+            ours = sorted(function.shared[:homes], key=lambda w: (w.entry.zone != self.told.zone, -w.order))
             function.homes, function.order = homes, ours + function.shared[homes:]
         return max(1, math.ceil(lanes))
 
