--- /dev/null
+++ b/swiftwell/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the list of workers."""
--- /dev/null
+++ b/swiftwell/gateway/engine.py
@@ -0,0 +1,565 @@
+"""The engine: hosts the decisions of `choice.Router`, the ledger and the timers.  No I/O.
+
+`step(now_us, wall_us, inputs)` gives what the shell has to do.  The engine ranks no worker, holds no call and tries
+nothing again: that is the module's.  Its own matter is which trigger may become a call at all (ledger, bounds,
+time left), that every trigger gets one final answer whatever the module does, and keeping the module going.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from swiftwell import interface as io
+from swiftwell.choice import Router
+from swiftwell.discovery.corrections import Corrections
+from swiftwell.fronts import trigger as tr
+from swiftwell.fronts.trigger import Answer, Kind, Ran, Trigger
+from swiftwell.gateway import ports
+from swiftwell.gateway.effects import Entry, Ledger, Record, Verdict
+from swiftwell.gateway.wheel import Wheel
+from swiftwell.interface import Effect, Status
+
+GUARD_TICKS = 1  # ticks before the deadline at which the engine answers if the module has not (it does at two)
+MOST_WAITERS = 16  # triggers that may share one running call: a publisher's tries, and some to spare
+FAULTS = 3  # module failures in a row after which its books are made anew
+BLAMES = 2  # failures that a call may be part of before it is answered instead of tried on new books
+LATE_US = 40_000  # us: timers this late go to the module in one batch with the rest, so that it sees the gap
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """One trigger that waits for a call's answer."""
+
+    trigger: Trigger
+    timer: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """What the engine knows of one attempt."""
+
+    worker: str
+    out: bool = True
+    ran: Ran = Ran.MAYBE
+    timer: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A call from its trigger until nothing of it is outstanding."""
+
+    id: str
+    trigger: Trigger
+    band: io.RequestClass
+    deadline_us: int
+    claimed: bool
+    waiters: list[Waiter] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    timer: int = 0  # the guard of its deadline
+    awaits: int = 0  # the number of the intent's write; 0 once the module may have the call
+    settled: bool = False  # the final answer stands; kept while attempts are out
+    orphan: bool = False  # the module will not answer it: the engine does, when its attempts have ended
+    blames: int = 0
+
+    def ran(self) -> Ran:
+        """What is known of the whole call."""
+        worst = Ran.NEVER
+        for attempt in self.attempts:
+            if attempt.ran is Ran.YES:
+                return Ran.YES
+            if attempt.ran is Ran.MAYBE:
+                worst = Ran.MAYBE
+        return worst
+
+    def out(self) -> bool:
+        return any(attempt.out for attempt in self.attempts)
+
+
+class Engine:
+    """One gateway's calls.  `told` goes to the module as it is; the rest is the engine's.
+
+    `margin_us`: time kept back from each trigger for the answer's way.  `max_open`: calls at a time.
+    """
+
+    def __init__(
+        self,
+        told: io.Settings,
+        ledger: Ledger,
+        *,
+        seed: int = 1,
+        margin_us: int = 5_000,
+        max_open: int = 20_000,
+        make: Callable[[io.Settings, int], Router] = Router,
+    ) -> None:
+        self._told, self._seed, self._make = told, seed, make
+        self._margin, self._max_open = margin_us, max_open
+        self._bands = {band.name: band for band in told.classes}
+        self.ledger = ledger
+        self.router = make(told, seed)
+        self.list = Corrections()
+        self._wheel: Wheel | None = None
+        self._now = self._wall = 0
+        self._out: list[ports.Output] = []
+        self._calls: dict[str, Call] = {}
+        self._of: dict[str, dict[str, None]] = {}  # source: its calls
+        self._awaiting: dict[int, Call] = {}  # number of a write: the call whose intent it is
+        self._orders: dict[int, tuple[str, str, int, int]] = {}  # number: worker, function, timer, sent
+        self._numbers = self._writes = self._faults = 0
+        self._books = 0  # numbers the module's books: timers of older ones mean nothing to newer ones
+        self._rebuilding = self._stopping = False
+        self._events: list[io.Event] = []
+        self.counts: dict[str, int] = dict.fromkeys(
+            ("calls", "served", "refused", "failed", "joined", "told", "left", "starts", "orders", "faults", "rebuilt"), 0
+        )
+
+    # What the shell calls.
+
+    def step(self, now_us: int, wall_us: int, inputs: Iterable[ports.Input] = ()) -> list[ports.Output]:
+        """Take what happened, and what has come due; give what is to be done, in order."""
+        if self._wheel is None:
+            self._wheel = Wheel(now_us)
+        self._now, self._wall, self._out = max(now_us, self._now), wall_us, []
+        for given in inputs:
+            self._take(given)
+        due = self._wheel.due(self._now)
+        tokens = [io.Timer(what[1]) for what in due if isinstance(what, tuple) and what[0] == self._books]
+        late = min((self.router.due(event) for event in tokens), default=self._now)
+        if self._now - late > LATE_US:  # one batch, as the module tells a gap of our own by a late timer in it
+            batch, self._events = self._events + tokens, []
+            self._feed(batch)
+        else:
+            self._events += tokens
+        self._pump()
+        for what in due:
+            if not isinstance(what, tuple):
+                what()
+        self._pump()
+        return self._out
+
+    def _pump(self) -> None:
+        """Give the module what waits, one event at a time, so that a failure concerns one event."""
+        while self._events:
+            event = self._events.pop(0)
+            self._feed([event])
+
+    def next_us(self) -> int | None:
+        """When `step` is wanted next, if nothing happens before."""
+        return self._wheel.next_us() if self._wheel else None
+
+    @property
+    def open(self) -> int:
+        """Calls with something outstanding."""
+        return len(self._calls)
+
+    # Inputs.
+
+    def _take(self, given: ports.Input) -> None:
+        match given:
+            case ports.Arrive():
+                self._arrive(given.trigger)
+            case ports.AttemptEnd():
+                self._ended(given)
+            case ports.Durable():
+                self._durable(given.number)
+            case ports.OrderEnd():
+                self._order_ended(given)
+            case ports.Listed():
+                self._events.append(self.list.listed(given.members))
+            case ports.Gone():
+                self._gone(given.source)
+            case ports.LedgerDown():
+                self._ledger_down(given.why)
+            case ports.Stop():
+                self._stopping = True
+
+    def _arrive(self, trigger: Trigger) -> None:
+        self.counts["calls"] += 1
+        band = self._bands.get(trigger.band)
+        left = trigger.left_us - self._margin
+        if band is None:
+            return self._refuse(trigger, tr.UNKNOWN_CLASS)
+        if left <= 0:
+            return self._refuse(trigger, tr.NO_TIME)
+        if self._stopping:
+            return self._refuse(trigger, tr.STOPPING)
+        self._numbers += 1
+        call = Call(f"c{self._numbers}", trigger, band, self._now + left, False)
+        intent = None
+        if band.effect is not Effect.SAFE and (intent := self._claim(call)) is None:
+            return None
+        if len(self._calls) >= self._max_open:
+            return self._settle(call, Answer(Kind.REFUSED, tr.TOO_MANY), [Waiter(trigger)])
+        self._calls[call.id] = call
+        self._wait(call, trigger, left)
+        guard = call.deadline_us - GUARD_TICKS * self._told.tick_us
+        call.timer = self._wheel.add(guard, lambda: self._overdue(call))
+        if intent:
+            call.awaits = self._write(self.ledger.record(trigger.tenant, trigger.key, intent))
+            self._awaiting[call.awaits] = call
+        else:
+            self._out.append(ports.Accepted(trigger))
+            self._request(call)
+        return None
+
+    def _claim(self, call: Call) -> Entry | None:
+        """Ask the ledger for the trigger's key; None where the trigger has been answered or joined."""
+        trigger, band = call.trigger, call.band
+        if not trigger.key:
+            self._refuse(trigger, tr.NO_KEY)
+            return None
+        asked = b"\0".join((trigger.band.encode(), trigger.function.encode(), trigger.payload))
+        remembers = band.memory_us if band.effect is Effect.KEYED and band.scope == "all" else 0
+        verdict, what = self.ledger.claim(
+            self._wall, trigger.tenant, trigger.key, xxhash.xxh3_128_digest(asked), trigger.again, band.effect,
+            call.id, remembers,
+        )
+        match verdict:
+            case Verdict.RUN if isinstance(what, Entry):
+                call.claimed = True
+                return what
+            case Verdict.JOIN if isinstance(what, str):
+                self._join(self._calls[what], trigger)
+            case Verdict.TOLD if isinstance(what, Entry):
+                self.counts["told"] += 1
+                self._reply(trigger, Answer(Kind.SERVED, tr.OK, what.body, worker=what.worker))
+            case Verdict.DOUBT:
+                self._reply(trigger, Answer(Kind.FAILED, tr.MAY_HAVE_RUN))
+            case Verdict.CONFLICT:
+                self._refuse(trigger, tr.KEY_REUSED)
+            case _:
+                self._refuse(trigger, tr.LEDGER)
+        return None
+
+    def _join(self, call: Call, trigger: Trigger) -> None:
+        if len(call.waiters) >= MOST_WAITERS:  # harmless to try again: the key joins again
+            return self._refuse(trigger, tr.TOO_MANY)
+        self.counts["joined"] += 1
+        self._wait(call, trigger, trigger.left_us - self._margin)
+        if not call.awaits:
+            self._out.append(ports.Accepted(trigger))
+        return None
+
+    def _wait(self, call: Call, trigger: Trigger, left_us: int) -> None:
+        """A trigger waits for a call; its own time may end before the call's does."""
+        waiter = Waiter(trigger)
+        if self._now + left_us < call.deadline_us:
+            guard = self._now + left_us - GUARD_TICKS * self._told.tick_us
+            waiter.timer = self._wheel.add(guard, lambda: self._impatient(call, waiter))
+        call.waiters.append(waiter)
+        self._of.setdefault(trigger.source, {})[call.id] = None
+
+    def _impatient(self, call: Call, waiter: Waiter) -> None:
+        """The time of a trigger that joined a call ends before the call's does."""
+        if waiter in call.waiters:
+            call.waiters.remove(waiter)
+            self._forget_source(call, waiter)
+            safe = call.band.effect is Effect.SAFE
+            self._reply(waiter.trigger, Answer(Kind.REFUSED, tr.NO_TIME) if safe else self._doubt(call))
+
+    def _overdue(self, call: Call) -> None:
+        """Rule 1 whatever the module does: the call's time is up."""
+        if not call.settled and not call.orphan and not call.awaits:
+            self._log("warning", "guard", call=call.id, function=call.trigger.function)
+        self._give_up(call)
+
+    def _doubt(self, call: Call) -> Answer:
+        return Answer(Kind.FAILED, tr.MAY_HAVE_RUN, attempts=len(call.attempts))
+
+    def _give_up(self, call: Call) -> None:
+        """Answer a call without the module: a refusal only where nothing of it ran."""
+        if call.settled:
+            return
+        harmless = call.band.effect is Effect.SAFE or call.ran() is Ran.NEVER
+        reason = tr.LEDGER if call.awaits else tr.NOT_RUN
+        self._settle(call, Answer(Kind.REFUSED, reason) if harmless else self._doubt(call))
+        self._leave(call)
+
+    def _leave(self, call: Call) -> None:
+        """The module need not care for a call any more; the engine keeps it while attempts are out."""
+        if call.awaits:
+            self._awaiting.pop(call.awaits, None)
+            call.awaits = 0
+        elif not call.orphan:
+            self._events.append(io.Left(call.id))
+        call.orphan = True
+        self._drop(call)
+
+    def _durable(self, number: int) -> None:
+        for key in [n for n in self._awaiting if n <= number]:
+            call = self._awaiting.pop(key)
+            call.awaits = 0
+            self._out.extend(ports.Accepted(waiter.trigger) for waiter in call.waiters)
+            self._request(call)
+
+    def _request(self, call: Call) -> None:
+        """Hand a call to the module."""
+        trigger = call.trigger
+        self._events.append(
+            io.Request(
+                id=call.id, band=trigger.band, tenant=trigger.tenant, function=trigger.function,
+                left_us=call.deadline_us - self._now, hint_us=trigger.hint_us, memory_mb=trigger.memory_mb,
+                lanes=max(1, trigger.lanes), load_us=trigger.load_us, repeated=trigger.again,
+            )
+        )  # fmt: skip
+
+    def _ended(self, end: ports.AttemptEnd) -> None:
+        call = self._calls.get(end.id)
+        if call is None or end.number >= len(call.attempts) or not call.attempts[end.number].out:
+            return
+        attempt = call.attempts[end.number]
+        self._wheel.cancel(attempt.timer)
+        attempt.out, attempt.ran = False, end.ran
+        if (end.ran is Ran.NEVER) != (end.status in io.NEVER_RAN):
+            raise AssertionError(f"{end.status!r} does not agree with {end.ran!r}")
+        if end.draining and (update := self.list.draining(attempt.worker)):
+            self._log("info", "draining", worker=attempt.worker, call=call.id)
+            self._events.append(update)
+        if end.status is Status.OK and not call.settled:
+            body, attempts = end.body, len(call.attempts)
+            self._settle(call, Answer(Kind.SERVED, tr.OK, body, worker=attempt.worker, attempts=attempts))
+        elif end.too_large and not call.settled:
+            # It ran, and no further attempt would bring a smaller answer.
+            self._settle(call, Answer(Kind.FAILED, tr.TOO_LARGE, worker=attempt.worker))
+        note = min(end.found, 3) + 8 * min(end.crowd, 30)
+        report = (("rif", end.held),) if end.held >= 0 else ()
+        self._events.append(
+            io.Outcome(call.id, end.number, attempt.worker, end.status, end.latency_us, call.settled, note, report)
+        )
+        if call.orphan and not call.out():
+            self._give_up(call)  # nobody else would answer it before its deadline
+        self._drop(call)
+
+    def _order_ended(self, end: ports.OrderEnd) -> None:
+        worker, function, timer, sent = self._orders.pop(end.number, ("", "", 0, 0))
+        if not worker:
+            return
+        self._wheel.cancel(timer)
+        if end.draining and (update := self.list.draining(worker)):
+            self._events.append(update)
+        self._events.append(io.Loaded(worker, function, end.status, self._now - sent, end.copies))
+
+    def _gone(self, source: str) -> None:
+        """A publisher left: a call nobody waits for any more is the module's to end; its effect is still recorded."""
+        for number in list(self._of.pop(source, ())):
+            call = self._calls.get(number)
+            if call is None:
+                continue
+            for waiter in [w for w in call.waiters if w.trigger.source == source]:
+                call.waiters.remove(waiter)
+                self._wheel.cancel(waiter.timer)
+                self.counts["left"] += 1
+            if not call.waiters and not call.settled:
+                self._leave(call)
+
+    def _ledger_down(self, why: str) -> None:
+        self.ledger.shut_why = why
+        self._log("error", "ledger-down", why=why)
+        for call in list(self._awaiting.values()):
+            self._give_up(call)
+
+    # The module.
+
+    def _feed(self, events: list[io.Event]) -> None:
+        """Give the module events and carry out what it wants."""
+        if not events:
+            return
+        try:
+            actions = self.router.handle(self._now, events)
+            self._faults = 0
+        except Exception as error:  # whatever it is, other calls must go on
+            actions = self._fault(events, error)
+        for act in actions:
+            self._act(act)
+
+    def _fault(self, events: list[io.Event], error: Exception) -> list[io.Action]:
+        """The module failed: what it had decided before holds; the calls concerned are answered.
+
+        A failure that comes with every event (broken books) would answer everybody so; then the books are
+        made anew from what the engine knows.
+        """
+        self._faults += 1
+        self.counts["faults"] += 1
+        at = error.__traceback__
+        while at and at.tb_next:
+            at = at.tb_next
+        where = f"{at.tb_frame.f_code.co_name}:{at.tb_lineno}" if at else ""
+        names = ",".join(type(event).__name__ for event in events[:4])
+        self._log("error", "module-failed", error=f"{type(error).__name__}: {error}", where=where, events=names)
+        salvaged = [act for act in self.router.actions if isinstance(act, (io.Send, io.SetTimer, io.Load))]
+        concerned = [self._calls[e.id] for e in events if getattr(e, "id", None) in self._calls]
+        for call in concerned:
+            call.blames += 1
+        for act in salvaged:
+            self._act(act)
+        if self._rebuilding:
+            return []
+        if len(events) > 1 or self._faults >= FAULTS:
+            self._rebuild()
+            return []
+        for call in concerned:
+            if not call.settled:
+                call.orphan = True
+                if not call.out():
+                    self._give_up(call)
+        return []
+
+    def _rebuild(self) -> None:
+        """New books: the list and the open calls are known here; what rules 4 and 5 count is carried over.
+
+        Beliefs, paces and caps are lost, as at a restart of the process.
+        """
+        old, self._faults, self._rebuilding = self.router, 0, True
+        self.counts["rebuilt"] += 1
+        self._books += 1
+        self._log("error", "module-rebuilt", calls=len(self._calls))
+        new = self.router = self._make(self._told, self._seed)
+        for _, _, timer, _ in self._orders.values():  # their answers would mean nothing to new books
+            self._wheel.cancel(timer)
+        self._orders.clear()
+        self._feed([io.Members(io.ListKind.FULL, tuple(self.list.all()))])
+        new.taken, new.orders, new.retries = old.taken, old.orders, old.retries
+        for name, worker in new.workers.items():
+            if name in old.workers:
+                worker.sends, worker.warm_at = old.workers[name].sends, old.workers[name].warm_at
+                worker.rest_until = old.workers[name].rest_until
+        self._rebuilding = False
+        for call in list(self._calls.values()):
+            if call.settled or call.awaits:
+                continue
+            if call.attempts or call.blames >= BLAMES:
+                call.orphan = True
+                if not call.out():
+                    self._give_up(call)
+            else:
+                self._request(call)
+
+    def _act(self, act: io.Action) -> None:
+        match act:
+            case io.SetTimer():
+                self._wheel.add(self._now + act.delay_us, (self._books, act.token))
+            case io.Send():
+                self._send(act)
+            case io.Refuse() | io.Fail():
+                self._final(act)
+            case io.Cancel():
+                self._abandon(self._calls.get(act.id), act.attempt, Status.CANCELLED)
+            case io.Load():
+                self._load(act)
+            case io.Watch():
+                self._out.append(ports.AskList(act.on))
+            case io.Log():
+                self._log("info", "module", text=act.text)
+
+    def _send(self, act: io.Send) -> None:
+        call = self._calls.get(act.id)
+        if call is None or call.settled:
+            # The module thinks it sent: without an outcome its books would hold the attempt for ever.
+            known = self.router.calls.get(act.id)
+            number = len(known.attempts) - 1 if known else 0
+            self._events.append(io.Outcome(act.id, number, act.worker, Status.MOOT, 0, True, 0, ()))
+            return
+        number = len(call.attempts)
+        until = min(act.until_us or call.deadline_us, call.deadline_us)
+        attempt = Attempt(act.worker)
+        attempt.timer = self._wheel.add(until, lambda: self._abandon(call, number, Status.TIMEOUT))
+        call.attempts.append(attempt)
+        self.counts["starts"] += 1
+        self._out.append(ports.Start(call.id, number, act.worker, call.trigger, until - self._now))
+
+    def _abandon(self, call: Call | None, number: int, status: Status) -> None:
+        if call and number < len(call.attempts) and call.attempts[number].out:
+            self._out.append(ports.Abandon(call.id, number, status))
+
+    def _final(self, act: io.Refuse | io.Fail) -> None:
+        call = self._calls.get(act.id)
+        if call is None or call.settled:
+            return
+        if isinstance(act, io.Fail):
+            answer = self._doubt(call)
+        elif call.band.effect is Effect.UNSAFE and call.ran() is not Ran.NEVER:
+            # Rule 2 has two guards: the module's books, and here what the sockets proved.
+            self._log("error", "refusal-withheld", call=call.id)
+            answer = self._doubt(call)
+        else:
+            answer = Answer(Kind.REFUSED, tr.NOT_RUN, wait_us=act.wait_us, attempts=len(call.attempts))
+        self._settle(call, answer)
+        self._drop(call)
+
+    def _load(self, act: io.Load) -> None:
+        known = self.router.functions.get(act.function)
+        self._numbers += 1
+        number, timer = self._numbers, 0
+        self.counts["orders"] += 1
+        if self._told.order_timeout_us:
+            silent = ports.OrderEnd(number, Status.TIMEOUT, 0)
+            timer = self._wheel.add(self._now + self._told.order_timeout_us, lambda: self._order_ended(silent))
+        self._orders[number] = (act.worker, act.function, timer, self._now)
+        memory, lanes = (known.memory, known.lanes) if known else (0.0, 1)
+        self._out.append(ports.Order(number, act.worker, act.function, act.copies, memory, lanes))
+
+    # Answers.
+
+    def _settle(self, call: Call, answer: Answer, waiters: list[Waiter] | None = None) -> None:
+        """The one final answer of a call, to all that wait for it, and into the ledger."""
+        call.settled = True
+        if call.claimed:
+            record = self.ledger.settle(self._wall, call.trigger.tenant, call.trigger.key, answer)
+            if record is not None and not self.ledger.shut_why:
+                self._write(record)
+        for waiter in waiters if waiters is not None else call.waiters:
+            self._wheel.cancel(waiter.timer)
+            self._forget_source(call, waiter)
+            self._reply(waiter.trigger, answer)
+        call.waiters = []
+
+    def _drop(self, call: Call) -> None:
+        """Forget a call once nothing of it is outstanding and nobody waits for it."""
+        if call.out() or (not call.settled and not call.orphan):
+            return
+        if not call.settled:  # its publisher left
+            self._give_up(call)
+            return
+        self._wheel.cancel(call.timer)
+        self._calls.pop(call.id, None)
+
+    def _forget_source(self, call: Call, waiter: Waiter) -> None:
+        calls = self._of.get(waiter.trigger.source)
+        if calls is not None:
+            calls.pop(call.id, None)
+            if not calls:
+                del self._of[waiter.trigger.source]
+
+    def _refuse(self, trigger: Trigger, reason: str) -> None:
+        self._reply(trigger, Answer(Kind.REFUSED, reason))
+
+    def _reply(self, trigger: Trigger, answer: Answer) -> None:
+        self.counts[answer.kind.value] += 1
+        self._out.append(ports.Reply(trigger, answer))
+
+    def _write(self, record: Record) -> int:
+        self._writes += 1
+        self._out.append(ports.Write(record))
+        return self._writes
+
+    def _log(self, level: str, event: str, **fields: object) -> None:
+        self._out.append(ports.Line(level, event, tuple(fields.items())))
+
+
+def tables(engine: Engine) -> dict[str, int]:
+    """The size of every table, for a figure on each."""
+    router = engine.router
+    return {
+        "calls": engine.open,
+        "ledger": len(engine.ledger),
+        "ledger_bytes": engine.ledger.bytes,
+        "timers": len(engine._wheel) if engine._wheel else 0,
+        "sources": len(engine._of),
+        "orders": len(engine._orders),
+        "workers": len(router.workers),
+        "functions": len(router.functions),
+        "module_calls": len(router.calls),
+    }
+
--- /dev/null
+++ b/swiftwell/gateway/ports.py
@@ -0,0 +1,160 @@
+"""What goes into the engine and what comes out of it: its whole seam to the shell.
+
+Times are monotonic microseconds unless a name says `wall`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from swiftwell.fronts.trigger import Answer, Ran, Trigger
+from swiftwell.gateway.effects import Record
+from swiftwell.interface import Members, Status
+
+
+@dataclass(frozen=True, slots=True)
+class Arrive:
+    """A front has taken a trigger."""
+
+    trigger: Trigger
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """A front's peer is gone for good: its triggers can't be answered any more."""
+
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """How an attempt ended: each `Start` gets exactly one.
+
+    `ran` is what the socket proves; `found` 0 untold, 1 warm, 2 loaded, 3 waited; `crowd` calls of the same function
+    that stood there; `held` calls the worker held, -1 untold.
+    """
+
+    id: str
+    number: int
+    status: Status
+    ran: Ran
+    body: bytes = b""
+    latency_us: int = 0
+    found: int = 0
+    crowd: int = 0
+    held: float = -1.0
+    draining: bool = False
+    too_large: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OrderEnd:
+    """How an order to load (or a question) ended."""
+
+    number: int
+    status: Status
+    copies: int
+    latency_us: int = 0
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """An update of the list of workers."""
+
+    members: Members
+
+
+@dataclass(frozen=True, slots=True)
+class Durable:
+    """All `Write`s up to this number (counted from 1) are on disk."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerDown:
+    """The journal can't be written any more."""
+
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The gateway is told to end: nothing new is taken."""
+
+
+Input = Arrive | Gone | AttemptEnd | OrderEnd | Listed | Durable | LedgerDown | Stop
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Send an attempt to a worker."""
+
+    id: str
+    number: int
+    worker: str
+    trigger: Trigger
+    left_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Stop waiting for an attempt; its `AttemptEnd` says `status`, or that it was never sent."""
+
+    id: str
+    number: int
+    status: Status
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """Order copies at a worker; `copies` 0 asks only."""
+
+    number: int
+    worker: str
+    function: str
+    copies: int
+    memory_mb: float
+    lanes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The final answer to one trigger."""
+
+    trigger: Trigger
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The trigger is taken: for an unsafe class its intent is on disk.  Never after its `Reply`."""
+
+    trigger: Trigger
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Make a ledger record durable; `Durable` tells when."""
+
+    record: Record
+
+
+@dataclass(frozen=True, slots=True)
+class AskList:
+    """Ask discovery for changes, or stop asking."""
+
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """A line for the log; `level` is a structlog level, `event` a word from docs/gateway.md."""
+
+    level: str
+    event: str
+    fields: tuple[tuple[str, object], ...] = ()
+
+
+Output = Start | Abandon | Order | Reply | Accepted | Write | AskList | Line
--- a/swiftwell/interface.py
+++ b/swiftwell/interface.py
@@ -77,39 +77,42 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What one router is told when it starts."""
+    """What one router is told when it starts.
+
+    A value that is not told is neutral: the default here, for the bench's wire and the running gateway alike.
+    """
 
     classes: tuple[RequestClass, ...]
-    tenants: tuple[Tenant, ...]
-    routers: int
-    position: int
-    tick_us: int
-    zone: str
-    kind_memory_mb: tuple[tuple[str, float], ...]
-    idle_life_us: int
-    may_load: bool
-    misses: bool
-    load_free: float
-    load_share: float
-    load_window_us: int
-    order_timeout_us: int
-    tells_warm: bool
-    tells_crowd: bool
-    asked_discovery: bool
-    ask_within_us: int
-    may_cancel: bool
-    may_probe: bool
-    peers: bool
-    second_copies: bool
-    retry_after: bool
-    max_retry_after_us: int
-    max_attempts: int
-    answer_slack_us: int
-    cold_share: float
-    cold_us: int
-    fall_multiple: float
-    fall_us: int
-    sized_weights: bool
+    tenants: tuple[Tenant, ...] = ()
+    routers: int = 1
+    position: int = 0
+    tick_us: int = 1_000
+    zone: str = ""
+    kind_memory_mb: tuple[tuple[str, float], ...] = ()
+    idle_life_us: int = 0
+    may_load: bool = False
+    misses: bool = False
+    load_free: float = 0.0
+    load_share: float = 0.0
+    load_window_us: int = 0
+    order_timeout_us: int = 0
+    tells_warm: bool = False
+    tells_crowd: bool = False
+    asked_discovery: bool = False
+    ask_within_us: int = 0
+    may_cancel: bool = False
+    may_probe: bool = False
+    peers: bool = False
+    second_copies: bool = False
+    retry_after: bool = False
+    max_retry_after_us: int = 0
+    max_attempts: int = 1
+    answer_slack_us: int = 0
+    cold_share: float = 1.0
+    cold_us: int = 0
+    fall_multiple: float = 1.0
+    fall_us: int = 0
+    sized_weights: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/swiftwell/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings document of a site, checked into frozen dataclasses."""
--- /dev/null
+++ b/swiftwell/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the systems around a gateway, with faults: programs of their own."""
--- a/swiftwell/wire.py
+++ b/swiftwell/wire.py
@@ -123,10 +123,35 @@
     )
 
 
+_TOLD: tuple[tuple[str, str, Callable[[str], object]], ...] = (
+    ("idle_life_us", "family-info.idle-life-ms", _us),
+    ("may_load", "family-info.may-load", _flag),
+    ("load_free", "family-info.load-free", _number),
+    ("load_share", "family-info.load-share", _number),
+    ("load_window_us", "family-info.load-window-ms", _us),
+    ("order_timeout_us", "family-info.order-timeout-ms", _us),
+    ("tells_warm", "family-info.tells-warm", _flag),
+    ("tells_crowd", "family-info.tells-crowd", _flag),
+    ("ask_within_us", "rules.ask-within-ms", _us),
+    ("may_cancel", "limits.cancel", _flag),
+    ("may_probe", "limits.probes", _flag),
+    ("peers", "limits.peers", _flag),
+    ("second_copies", "limits.second-copies", _flag),
+    ("retry_after", "limits.retry-after", _flag),
+    ("max_retry_after_us", "limits.max-retry-after-ms", _us),
+    ("answer_slack_us", "rules.answer-slack-ms", _us),
+    ("cold_share", "rules.cold-share", _number),
+    ("cold_us", "rules.cold-ms", _us),
+    ("fall_multiple", "rules.fall-multiple", _number),
+    ("fall_us", "rules.overload-for-ms", _us),
+)
+
+
 def settings(found: Fields) -> tuple[int, io.Settings]:
-    """The seed and the settings of a BEGIN."""
+    """The seed and the settings of a BEGIN; what is not told keeps the default of `io.Settings`."""
     memory = [_number(x) for x in found.get("family-info.memory-mb-by-kind", "").split(",") if x]
     kinds = [x for x in found.get("flavors", "").split(",") if x]
+    told = {name: _read(found, key, parse) for name, key, parse in _TOLD if key in found}
     return _read(found, "salt", int), io.Settings(
         classes=tuple(_request_class(found, at) for at in _items(found, "lanes")),
         tenants=tuple(_tenant(found, at) for at in _items(found, "customers")),
@@ -135,30 +160,11 @@
         tick_us=_read(found, "tick-ms", _us),
         zone=found.get("locality", ""),
         kind_memory_mb=tuple(zip(kinds, memory, strict=False)),
-        idle_life_us=_read(found, "family-info.idle-life-ms", _us, 0),
-        may_load=_read(found, "family-info.may-load", _flag, False),
         misses=found.get("family-info.miss-mode", "load") == "miss",
-        load_free=_read(found, "family-info.load-free", _number, 0.0),
-        load_share=_read(found, "family-info.load-share", _number, 0.0),
-        load_window_us=_read(found, "family-info.load-window-ms", _us, 0),
-        order_timeout_us=_read(found, "family-info.order-timeout-ms", _us, 0),
-        tells_warm=_read(found, "family-info.tells-warm", _flag, False),
-        tells_crowd=_read(found, "family-info.tells-crowd", _flag, False),
         asked_discovery=found.get("discovery", "pushed") == "on_request",
-        ask_within_us=_read(found, "rules.ask-within-ms", _us, 0),
-        may_cancel=_read(found, "limits.cancel", _flag, False),
-        may_probe=_read(found, "limits.probes", _flag, False),
-        peers=_read(found, "limits.peers", _flag, False),
-        second_copies=_read(found, "limits.second-copies", _flag, False),
-        retry_after=_read(found, "limits.retry-after", _flag, False),
-        max_retry_after_us=_read(found, "limits.max-retry-after-ms", _us, 0),
         max_attempts=_read(found, "limits.max-attempts", int),
-        answer_slack_us=_read(found, "rules.answer-slack-ms", _us, 0),
-        cold_share=_read(found, "rules.cold-share", _number, 1.0),
-        cold_us=_read(found, "rules.cold-ms", _us, 0),
-        fall_multiple=_read(found, "rules.fall-multiple", _number, 1.0),
-        fall_us=_read(found, "rules.overload-for-ms", _us, 0),
         sized_weights=found.get("weight-kind", "off") in ("nominal", "rough"),
+        **told,
     )
 
 
