--- a/swiftwell/discovery/corrections.py
+++ b/swiftwell/discovery/corrections.py
@@ -1,6 +1,7 @@
 """What workers themselves say corrects the list at once.  Decisions only, no I/O.
 
-A worker that answers `draining` is drained from then on (rule 3), however late the list is: a list that still calls
+A worker that answers `draining` is drained from then on (rule 3), however late the list is: a list that
+still calls
 the same process ready is overruled until it names another start, or has caught up.
 """
 
--- /dev/null
+++ b/swiftwell/discovery/sources.py
@@ -0,0 +1,125 @@
+"""Where the list of workers comes from: settings, a file that is watched, or a list service that is asked.
+
+Each source calls `tell(Members)` with whole lists; what can't be read leaves the old list in force and is
+logged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from swiftwell import interface as io
+from swiftwell.discovery.entries import from_file, from_service
+from swiftwell.fronts.host import Backoff
+from swiftwell.http.client import Client, Unreachable
+from swiftwell.http.http1 import Request
+from swiftwell.settings.document import SettingsError
+from swiftwell.settings.site import Workers, host_port
+
+LOOK_S = 0.5  # s between looks at a watched file
+SLACK_S = 5.0  # s beyond the asked wait after which a list server counts as hanging
+
+Tell = Callable[[io.Members], None]
+Log = Callable[..., None]
+
+
+def static(workers: Workers) -> io.Members:
+    """The workers that the settings name."""
+    entries = tuple(
+        io.WorkerEntry(one.address, io.State.READY, one.kind, 1.0, 0, one.zone, one.cell)
+        for one in workers.worker
+    )
+    return io.Members(io.ListKind.FULL, entries)
+
+
+async def watch_file(path: Path, started: Callable[[float], int], tell: Tell, log: Log) -> None:
+    """Read a file whenever it changes."""
+    seen: object = None
+    while True:
+        try:
+            stat = path.stat()
+            mark: object = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
+            if mark != seen:
+                tell(
+                    io.Members(
+                        io.ListKind.FULL, from_file(path.read_text(encoding="utf-8"), str(path), started)
+                    )
+                )
+                log("info", "list", source=str(path))
+                seen = mark
+        except (OSError, UnicodeDecodeError, SettingsError) as error:
+            # A file that is being written, or was broken by hand, must not empty the list.
+            if seen != str(error):
+                log("error", "list-unreadable", source=str(path), error=str(error))
+                seen = str(error)
+        await asyncio.sleep(LOOK_S)
+
+
+class ListService:
+    """A client of a list service by long polling, in Consul's form: an index, and a question that waits.
+
+    `GET /v1/health/service/NAME?index=N&wait=Ss` is answered once the index has passed N or the wait is
+    over; the
+    answer's index comes in `X-Consul-Index`.  Servers are tried in turn.
+    """
+
+    def __init__(
+        self,
+        servers: tuple[str, ...],
+        service: str,
+        wait_s: int,
+        gateway: str,
+        started: Callable[[float], int],
+        tell: Tell,
+        log: Log,
+        chance: random.Random,
+    ) -> None:
+        self._servers, self._service, self._wait_s, self._gateway = servers, service, wait_s, gateway
+        self._started, self._tell, self._log, self._chance = started, tell, log, chance
+        self._backoff = Backoff(chance)
+        self.index = 0
+        self.heard_at = 0.0  # steady time of the last good answer
+
+    async def run(self) -> None:
+        """Ask for ever."""
+        turn = 0
+        while True:
+            host, port = host_port(self._servers[turn % len(self._servers)])
+            client, began = Client(host, port), time.monotonic()
+            try:
+                while True:
+                    await self._ask(client)
+            except (Unreachable, SettingsError) as error:
+                turn += 1
+                self._backoff.ended(time.monotonic() - began)
+                wait = self._backoff.wait_s()
+                self._log(
+                    "warning", "list-lost", server=f"{host}:{port}", why=str(error), again_in_s=round(wait, 2)
+                )
+                await asyncio.sleep(wait)
+            finally:
+                client.close()
+
+    async def _ask(self, client: Client) -> None:
+        target = f"/v1/health/service/{self._service}?index={self.index}&wait={self._wait_s}s"
+        asked = Request("GET", target, {"swiftwell-gateway": self._gateway})
+        answer = await client.ask(asked, self._wait_s + SLACK_S)
+        if answer.status != 200:
+            raise Unreachable(f"status {answer.status}")
+        entries, problems = from_service(answer.body, self._started)
+        for problem in problems[:5]:
+            self._log("warning", "list-entry", problem=problem.text, number=problem.line)
+        text = answer.headers.get("x-consul-index", "0")
+        index = int(text) if text.isdigit() else 0
+        changed = index != self.index
+        # An index that goes backwards or is not given starts from the beginning, as the protocol says.
+        self.index = index if index >= self.index else 0
+        self.heard_at = time.monotonic()
+        if changed or not index:
+            self._tell(io.Members(io.ListKind.FULL, entries))
+        if not index:  # a server without an index would be asked without a pause
+            await asyncio.sleep(self._chance.uniform(0.5, 1.0))
--- /dev/null
+++ b/swiftwell/fronts/mqtt/contract.py
@@ -0,0 +1,232 @@
+"""The contract with publishers: an MQTT message as a trigger, and an answer as an MQTT message.  No I/O.
+
+Topic: `PREFIX/TENANT/CLASS/FUNCTION`, where FUNCTION may have further levels.  In 5.0 everything else
+stands in
+properties and the payload is the call's own; in 3.1.1 the payload is a JSON envelope.  docs/mqtt.md has it
+whole.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from swiftwell.fronts.mqtt.codec import V5, Publish, Reason
+from swiftwell.fronts.patience import Skew, Told, left_us
+from swiftwell.fronts.trigger import Answer, Kind, Trigger
+
+MOST_KEY = 200  # characters of a publisher's key
+MOST_LEVELS = 16  # levels of a topic
+
+
+class Rejected(Exception):
+    """A message that can't become a trigger; `reason` goes to the publisher with its acknowledgement."""
+
+    def __init__(self, reason: Reason, text: str) -> None:
+        super().__init__(text)
+        self.reason = reason
+
+
+@dataclass(frozen=True, slots=True)
+class FunctionHint:
+    """What the settings tell of functions that a pattern names."""
+
+    memory_mb: float = 0.0
+    lanes: int = 1
+    hint_us: int = 0
+    load_us: int = 0
+
+
+@dataclass(slots=True)
+class Ref:
+    """Where an answer goes; `connection` and `id` are the front's, to acknowledge the message."""
+
+    version: int
+    connection: Any
+    id: int
+    qos: int
+    reply: str
+    correlation: bytes | str | None
+    key: str
+    acked: bool = False
+
+
+class _Envelope(msgspec.Struct, forbid_unknown_fields=True):
+    """The payload of a 3.1.1 trigger."""
+
+    body: Any = None
+    key: str = ""
+    reply: str = ""
+    correlation: str = ""
+    timeout_ms: float | None = None
+    deadline_ms: float | None = None
+    sent_ms: float | None = None
+    attempt: int = 0
+    memory_mb: float | None = None
+    lanes: int | None = None
+
+
+_decode = msgspec.json.Decoder(_Envelope).decode
+_encode = msgspec.json.Encoder().encode
+_NUMBERS = ("timeout-ms", "deadline-ms", "sent-ms", "memory-mb", "lanes", "attempt")
+
+
+def _numbers(pairs: list[tuple[str, str]]) -> dict[str, float]:
+    found = {}
+    for name, value in pairs:
+        if name in _NUMBERS:
+            try:
+                found[name] = float(value)
+            except ValueError:
+                found[name] = math.nan
+            if not math.isfinite(found[name]) or found[name] < 0:
+                raise Rejected(Reason.PAYLOAD_FORMAT, f"property {name} is not a number: {value[:40]!r}")
+    return found
+
+
+def _told(numbers: dict[str, float | None], expiry: int | None) -> Told:
+    return Told(
+        numbers.get("timeout-ms"),
+        numbers.get("deadline-ms"),
+        numbers.get("sent-ms"),
+        None if expiry is None else expiry * 1_000.0,
+    )
+
+
+class Contract:
+    """Reads triggers for one front.
+
+    `deadlines_ms`: class to its deadline; `hint`: function to what the settings tell of it; `prefix`: the
+    first
+    topic levels; `direct`: messages come over the publishers' own connections.
+    """
+
+    def __init__(
+        self, prefix: str, deadlines_ms: dict[str, float], hint: Callable[[str], FunctionHint], direct: bool
+    ) -> None:
+        self._prefix = prefix.strip("/").split("/")
+        self._deadlines, self._hint, self._direct = deadlines_ms, hint, direct
+        self.skew = Skew()
+
+    def ref(self, message: Publish, version: int, connection: Any, client: str) -> Ref:
+        """Where an answer to this message goes, as far as it can be read."""
+        properties = message.properties
+        reply = (
+            properties.get("response_topic", "") if version == V5 else f"answers/{client}" if client else ""
+        )
+        return Ref(
+            version, connection, message.id, message.qos, reply, properties.get("correlation_data"), ""
+        )
+
+    def read(self, message: Publish, source: str, ref: Ref, now_ms: float) -> Trigger:
+        """A message as a trigger; completes `ref`.  Raises Rejected."""
+        levels = message.topic.split("/")
+        count = len(self._prefix)
+        if levels[:count] != self._prefix or len(levels) < count + 3 or not all(levels):
+            wanted = "/".join([*self._prefix, "TENANT", "CLASS", "FUNCTION"])
+            raise Rejected(Reason.TOPIC_INVALID, f"the topic is not {wanted}")
+        if len(levels) > MOST_LEVELS:
+            raise Rejected(Reason.TOPIC_INVALID, f"the topic has more than {MOST_LEVELS} levels")
+        tenant, band, function = levels[count], levels[count + 1], "/".join(levels[count + 2 :])
+        numbers: dict[str, Any]
+        if ref.version == V5:
+            pairs = message.properties.get("user", [])
+            numbers, payload = _numbers(pairs), message.payload
+            ref.key = next((value for name, value in pairs if name == "key"), "")
+        else:
+            numbers, payload = self._envelope(message, ref)
+        if len(ref.key) > MOST_KEY:
+            raise Rejected(Reason.PAYLOAD_FORMAT, f"the key is longer than {MOST_KEY} characters")
+        told = _told(numbers, message.properties.get("message_expiry"))
+        publisher = source if self._direct else f"{tenant} {ref.reply}"
+        most = self._deadlines.get(band, 0.0) or 60_000.0
+        left = left_us(told, most, publisher, now_ms, self._direct, self.skew)
+        hint = self._hint(function)
+        return Trigger(
+            source=source,
+            ref=ref,
+            band=band,
+            tenant=tenant,
+            function=function,
+            key=ref.key,
+            payload=payload,
+            left_us=left,
+            again=message.dup or (numbers.get("attempt") or 0) > 0,
+            memory_mb=numbers.get("memory-mb") or hint.memory_mb,
+            lanes=int(numbers.get("lanes") or hint.lanes),
+            hint_us=hint.hint_us,
+            load_us=hint.load_us,
+        )
+
+    def _envelope(self, message: Publish, ref: Ref) -> tuple[dict[str, Any], bytes]:
+        try:
+            envelope = _decode(message.payload)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            raise Rejected(Reason.PAYLOAD_FORMAT, f"the payload is not the JSON envelope: {error}") from None
+        ref.key, ref.correlation = envelope.key, envelope.correlation
+        if envelope.reply:
+            if set(envelope.reply) & set("+#\0"):
+                raise Rejected(Reason.TOPIC_INVALID, "reply is not a topic to publish to")
+            ref.reply = envelope.reply
+        numbers = {
+            "timeout-ms": envelope.timeout_ms,
+            "deadline-ms": envelope.deadline_ms,
+            "sent-ms": envelope.sent_ms,
+            "memory-mb": envelope.memory_mb,
+            "lanes": envelope.lanes,
+            "attempt": envelope.attempt,
+        }
+        if any(value is not None and value < 0 for value in numbers.values()):
+            raise Rejected(Reason.PAYLOAD_FORMAT, "a number of the envelope is negative")
+        body = envelope.body
+        return numbers, body.encode() if isinstance(body, str) else b"" if body is None else _encode(body)
+
+
+def answer(ref: Ref, told: Answer) -> Publish | None:
+    """An answer as a message, of QoS 1 where the trigger had more than 0; None where nobody asked for one."""
+    if not ref.reply:
+        return None
+    qos = min(ref.qos, 1)
+    if ref.version == V5:
+        user = [("status", told.kind.value), ("reason", told.reason)]
+        if told.wait_us:
+            user.append(("wait-ms", str(-(-told.wait_us // 1_000))))
+        if told.worker:
+            user.append(("worker", told.worker))
+        if ref.key:
+            user.append(("key", ref.key))
+        properties: dict[str, Any] = {"user": user}
+        if ref.correlation is not None:
+            properties["correlation_data"] = ref.correlation
+        return Publish(ref.reply, told.body, qos, properties=properties)
+    try:
+        body: Any = told.body.decode()
+    except UnicodeDecodeError:
+        body = {"base64": told.body}
+    envelope = {"status": told.kind.value, "reason": told.reason, "key": ref.key, "body": body}
+    envelope |= {"correlation": ref.correlation or "", "worker": told.worker}
+    if told.wait_us:
+        envelope["wait_ms"] = -(-told.wait_us // 1_000)
+    return Publish(ref.reply, _encode(envelope), qos)
+
+
+# What the acknowledgement of a refused trigger says (5.0 only; 3.1.1 has no such codes).
+_CODES = {
+    "no-time-left": Reason.IMPLEMENTATION,
+    "unknown-class": Reason.TOPIC_INVALID,
+    "key-required": Reason.PAYLOAD_FORMAT,
+    "key-reused": Reason.IMPLEMENTATION,
+    "too-many-calls": Reason.QUOTA,
+    "unsafe-over-shared-qos-1": Reason.IMPLEMENTATION,
+}
+
+
+def code(told: Answer) -> int:
+    """The reason code that acknowledges a trigger with its answer."""
+    if told.kind is not Kind.REFUSED:
+        return Reason.OK
+    return _CODES.get(told.reason, Reason.QUOTA)
--- a/swiftwell/fronts/trigger.py
+++ b/swiftwell/fronts/trigger.py
@@ -1,6 +1,7 @@
 """One shape of a call for every front: what a publisher asks, and what it is told in the end.
 
-A front turns its protocol's message into a `Trigger` and carries `Answer` back.  Nothing here knows a protocol.
+A front turns its protocol's message into a `Trigger` and carries `Answer` back.  Nothing here knows a
+protocol.
 """
 
 from __future__ import annotations
@@ -29,9 +30,12 @@
 class Trigger:
     """A publisher's call.
 
-    `source` names the front's peer and `ref` is whatever that front needs to answer it (opaque here).  `key` is the
-    publisher's own name of the effect, "" where it gave none.  `left_us` is the time until the publisher gives
-    up, already corrected for clock skew.  `again` is set where the publisher, a broker or the protocol says that
+    `source` names the front's peer and `ref` is whatever that front needs to answer it (opaque here).
+    `key` is the
+    publisher's own name of the effect, "" where it gave none.  `left_us` is the time until the publisher
+    gives
+    up, already corrected for clock skew.  `again` is set where the publisher, a broker or the protocol says
+    that
     this may have been delivered before.
     """
 
--- /dev/null
+++ b/swiftwell/gateway/clock.py
@@ -0,0 +1,42 @@
+"""The one clock of a process: steady microseconds, and wall time anchored to them at the start.
+
+Wall time is read once.  A step of the machine's wall clock while the process runs changes nothing here; the
+anchor of
+the next process is its own.
+"""
+
+from __future__ import annotations
+
+import time
+
+
+class Clock:
+    """Steady and anchored wall time."""
+
+    def __init__(self) -> None:
+        self._anchor_us = time.time_ns() // 1_000 - time.monotonic_ns() // 1_000
+
+    @staticmethod
+    def now_us() -> int:
+        """Monotonic microseconds."""
+        return time.monotonic_ns() // 1_000
+
+    def wall_us(self) -> int:
+        """Wall-clock microseconds since 1970, anchored."""
+        return self._anchor_us + self.now_us()
+
+    def wall_ms(self) -> float:
+        """The same in milliseconds."""
+        return self.wall_us() / 1_000
+
+    def started_us(self, wall_ms: float) -> int:
+        """A worker's start by the list's wall clock, as monotonic time; 0 where it is untold or before the
+        machine started.
+
+        The same wall time gives the same answer at every look; a start in the future (the
+        list's clock is ahead) stands as it is told, as it names the process as well.
+        """
+        if wall_ms <= 0:
+            return 0
+        started = int(wall_ms * 1_000) - self._anchor_us
+        return started if started > 0 else 0
--- a/swiftwell/gateway/effects.py
+++ b/swiftwell/gateway/effects.py
@@ -1,11 +1,14 @@
 """The ledger of effects: which keys have an effect under way, done, or in doubt.  Decisions only, no I/O.
 
-Rule 2 outlives a call here: the module keeps one call from running twice, the ledger keeps a *key* from it, over
+Rule 2 outlives a call here: the module keeps one call from running twice, the ledger keeps a *key* from it,
+over
 redelivery, publishers' retries and restarts.  `Ledger.claim` decides what a trigger that names a key may do;
 the shell makes each `Record` durable (gateway/journal.py) and tells when it is.
 
-Time is wall-clock microseconds, as entries outlive the process.  A clock set back makes entries look younger, so
-they are kept longer, which is the safe side; the shell gives a clock anchored at its start, so that a step forward
+Time is wall-clock microseconds, as entries outlive the process.  A clock set back makes entries look
+younger, so
+they are kept longer, which is the safe side; the shell gives a clock anchored at its start, so that a step
+forward
 while it runs makes nothing older (a step between two runs does, as far as it goes).
 """
 
@@ -73,8 +76,10 @@
 class Bounds:
     """How long and how much the ledger keeps; the site's settings state it.
 
-    `keep_us`: for so long after its last record a key is remembered.  `entries`, `bytes`: at most so much; an entry
-    within `keep_us` is never dropped to make room: the ledger shuts instead, as a forgotten key could run twice.
+    `keep_us`: for so long after its last record a key is remembered.  `entries`, `bytes`: at most so much;
+    an entry
+    within `keep_us` is never dropped to make room: the ledger shuts instead, as a forgotten key could run
+    twice.
     """
 
     keep_us: int
@@ -175,7 +180,12 @@
         if record.step is Step.FREE:
             self._drop(key)
         else:
-            self._put(key, Entry(record.step, record.at_us, record.print_, record.body, record.worker, "", record.first_us))
+            self._put(
+                key,
+                Entry(
+                    record.step, record.at_us, record.print_, record.body, record.worker, "", record.first_us
+                ),
+            )
 
     def records(self) -> list[Record]:
         """What a new journal must hold so that nothing is forgotten."""
@@ -184,7 +194,8 @@
     def forget(self, now_us: int) -> None:
         """Drop what is older than the bound; running calls stay.
 
-        Entries stand in the order of their last record; where the clock was set back an old entry behind a younger
+        Entries stand in the order of their last record; where the clock was set back an old entry behind a
+        younger
         one waits for it, so it is kept longer and never shorter.
         """
         while self._entries:
@@ -200,7 +211,10 @@
 
     def _full(self, key: str) -> bool:
         # Room for the largest answer is set aside, or an effect could run whose answer finds no room.
-        return len(self._entries) >= self.bounds.entries or self._bytes + MOST_BODY + len(key) > self.bounds.bytes
+        return (
+            len(self._entries) >= self.bounds.entries
+            or self._bytes + MOST_BODY + len(key) > self.bounds.bytes
+        )
 
     def _size(self, key: tuple[str, str], entry: Entry) -> int:
         reserve = MOST_BODY if entry.call else len(entry.body)
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -1,7 +1,9 @@
 """The engine: hosts the decisions of `choice.Router`, the ledger and the timers.  No I/O.
 
-`step(now_us, wall_us, inputs)` gives what the shell has to do.  The engine ranks no worker, holds no call and tries
-nothing again: that is the module's.  Its own matter is which trigger may become a call at all (ledger, bounds,
+`step(now_us, wall_us, inputs)` gives what the shell has to do.  The engine ranks no worker, holds no call
+and tries
+nothing again: that is the module's.  Its own matter is which trigger may become a call at all (ledger,
+bounds,
 time left), that every trigger gets one final answer whatever the module does, and keeping the module going.
 """
 
@@ -22,10 +24,13 @@
 from swiftwell.gateway.wheel import Wheel
 from swiftwell.interface import Effect, Status
 
-GUARD_TICKS = 1  # ticks before the deadline at which the engine answers if the module has not (it does at two)
+GUARD_TICKS = (
+    1  # ticks before the deadline at which the engine answers if the module has not (it does at two)
+)
 MOST_WAITERS = 16  # triggers that may share one running call: a publisher's tries, and some to spare
 FAULTS = 3  # module failures in a row after which its books are made anew
 BLAMES = 2  # failures that a call may be part of before it is answered instead of tried on new books
+STREAM_US = 60_000_000  # us that a streamed answer may take once it has begun
 LATE_US = 40_000  # us: timers this late go to the module in one batch with the rest, so that it sees the gap
 
 
@@ -61,6 +66,7 @@
     timer: int = 0  # the guard of its deadline
     awaits: int = 0  # the number of the intent's write; 0 once the module may have the call
     settled: bool = False  # the final answer stands; kept while attempts are out
+    streaming: bool = False  # its answer has begun
     orphan: bool = False  # the module will not answer it: the engine does, when its attempts have ended
     blames: int = 0
 
@@ -112,7 +118,20 @@
         self._rebuilding = self._stopping = False
         self._events: list[io.Event] = []
         self.counts: dict[str, int] = dict.fromkeys(
-            ("calls", "served", "refused", "failed", "joined", "told", "left", "starts", "orders", "faults", "rebuilt"), 0
+            (
+                "calls",
+                "served",
+                "refused",
+                "failed",
+                "joined",
+                "told",
+                "left",
+                "starts",
+                "orders",
+                "faults",
+                "rebuilt",
+            ),
+            0,
         )
 
     # What the shell calls.
@@ -127,7 +146,9 @@
         due = self._wheel.due(self._now)
         tokens = [io.Timer(what[1]) for what in due if isinstance(what, tuple) and what[0] == self._books]
         late = min((self.router.due(event) for event in tokens), default=self._now)
-        if self._now - late > LATE_US:  # one batch, as the module tells a gap of our own by a late timer in it
+        if (
+            self._now - late > LATE_US
+        ):  # one batch, as the module tells a gap of our own by a late timer in it
             batch, self._events = self._events + tokens, []
             self._feed(batch)
         else:
@@ -162,6 +183,8 @@
                 self._arrive(given.trigger)
             case ports.AttemptEnd():
                 self._ended(given)
+            case ports.FirstByte():
+                self._begun(given)
             case ports.Durable():
                 self._durable(given.number)
             case ports.OrderEnd():
@@ -213,8 +236,14 @@
         asked = b"\0".join((trigger.band.encode(), trigger.function.encode(), trigger.payload))
         remembers = band.memory_us if band.effect is Effect.KEYED and band.scope == "all" else 0
         verdict, what = self.ledger.claim(
-            self._wall, trigger.tenant, trigger.key, xxhash.xxh3_128_digest(asked), trigger.again, band.effect,
-            call.id, remembers,
+            self._wall,
+            trigger.tenant,
+            trigger.key,
+            xxhash.xxh3_128_digest(asked),
+            trigger.again,
+            band.effect,
+            call.id,
+            remembers,
         )
         match verdict:
             case Verdict.RUN if isinstance(what, Entry):
@@ -323,15 +352,33 @@
         elif end.too_large and not call.settled:
             # It ran, and no further attempt would bring a smaller answer.
             self._settle(call, Answer(Kind.FAILED, tr.TOO_LARGE, worker=attempt.worker))
+        elif call.streaming and not call.settled:
+            self._settle(call, self._doubt(call))
         note = min(end.found, 3) + 8 * min(end.crowd, 30)
         report = (("rif", end.held),) if end.held >= 0 else ()
         self._events.append(
-            io.Outcome(call.id, end.number, attempt.worker, end.status, end.latency_us, call.settled, note, report)
+            io.Outcome(
+                call.id, end.number, attempt.worker, end.status, end.latency_us, call.settled, note, report
+            )
         )
         if call.orphan and not call.out():
             self._give_up(call)  # nobody else would answer it before its deadline
         self._drop(call)
 
+    def _begun(self, first: ports.FirstByte) -> None:
+        """A streamed answer has begun: it belongs to this attempt now, and to a time of its own."""
+        call = self._calls.get(first.id)
+        if call is None or call.settled or not call.band.streamed or first.number >= len(call.attempts):
+            return
+        attempt = call.attempts[first.number]
+        for timer in (call.timer, attempt.timer, *(waiter.timer for waiter in call.waiters)):
+            self._wheel.cancel(timer)
+        number, call.streaming = first.number, True
+        end = self._now + STREAM_US
+        attempt.timer = self._wheel.add(end, lambda: self._abandon(call, number, Status.TIMEOUT))
+        call.timer = self._wheel.add(end + STREAM_US, lambda: self._overdue(call))
+        self._events.append(io.First(first.id, first.number, attempt.worker))
+
     def _order_ended(self, end: ports.OrderEnd) -> None:
         worker, function, timer, sent = self._orders.pop(end.number, ("", "", 0, 0))
         if not worker:
@@ -342,7 +389,8 @@
         self._events.append(io.Loaded(worker, function, end.status, self._now - sent, end.copies))
 
     def _gone(self, source: str) -> None:
-        """A publisher left: a call nobody waits for any more is the module's to end; its effect is still recorded."""
+        """A publisher left: a call nobody waits for any more is the module's to end; its effect is still
+        recorded."""
         for number in list(self._of.pop(source, ())):
             call = self._calls.get(number)
             if call is None:
@@ -387,7 +435,9 @@
             at = at.tb_next
         where = f"{at.tb_frame.f_code.co_name}:{at.tb_lineno}" if at else ""
         names = ",".join(type(event).__name__ for event in events[:4])
-        self._log("error", "module-failed", error=f"{type(error).__name__}: {error}", where=where, events=names)
+        self._log(
+            "error", "module-failed", error=f"{type(error).__name__}: {error}", where=where, events=names
+        )
         salvaged = [act for act in self.router.actions if isinstance(act, (io.Send, io.SetTimer, io.Load))]
         concerned = [self._calls[e.id] for e in events if getattr(e, "id", None) in self._calls]
         for call in concerned:
@@ -467,7 +517,9 @@
         attempt.timer = self._wheel.add(until, lambda: self._abandon(call, number, Status.TIMEOUT))
         call.attempts.append(attempt)
         self.counts["starts"] += 1
-        self._out.append(ports.Start(call.id, number, act.worker, call.trigger, until - self._now))
+        self._out.append(
+            ports.Start(call.id, number, act.worker, call.trigger, until - self._now, call.band.streamed)
+        )
 
     def _abandon(self, call: Call | None, number: int, status: Status) -> None:
         if call and number < len(call.attempts) and call.attempts[number].out:
@@ -495,7 +547,9 @@
         self.counts["orders"] += 1
         if self._told.order_timeout_us:
             silent = ports.OrderEnd(number, Status.TIMEOUT, 0)
-            timer = self._wheel.add(self._now + self._told.order_timeout_us, lambda: self._order_ended(silent))
+            timer = self._wheel.add(
+                self._now + self._told.order_timeout_us, lambda: self._order_ended(silent)
+            )
         self._orders[number] = (act.worker, act.function, timer, self._now)
         memory, lanes = (known.memory, known.lanes) if known else (0.0, 1)
         self._out.append(ports.Order(number, act.worker, act.function, act.copies, memory, lanes))
@@ -562,4 +616,3 @@
         "functions": len(router.functions),
         "module_calls": len(router.calls),
     }
-
--- a/swiftwell/gateway/journal.py
+++ b/swiftwell/gateway/journal.py
@@ -1,9 +1,12 @@
 """The journal of the ledger on disk: an append-only log in segments, with group commit.
 
-A record is `magic(2) length(4) xxh3_64(8) body`, its body msgpack of `effects.Record`.  At the start all segments are
-read.  What can't be read at the very end of the last segment is the write that a kill cut short: it is cut off.
+A record is `magic(2) length(4) xxh3_64(8) body`, its body msgpack of `effects.Record`.  At the start all
+segments are
+read.  What can't be read at the very end of the last segment is the write that a kill cut short: it is cut
+off.
 Unreadable bytes with a readable record behind them are damage: they are told, and the ledger knows that keys
-may be missing (docs/notes/ledger.md weighs this against SQLite and LMDB, whose recovery takes the first bad frame for
+may be missing (docs/notes/ledger.md weighs this against SQLite and LMDB, whose recovery takes the first bad
+frame for
 the end).
 """
 
@@ -88,7 +91,8 @@
 class Journal:
     """The log of one ledger, in a folder of its own that one process may hold at a time.
 
-    `append` returns a number; `on_durable(number)` is called, on the caller's thread through `post`, once all records up
+    `append` returns a number; `on_durable(number)` is called, on the caller's thread through `post`, once
+    all records up
     to it are on disk, and `on_failure(text)` when the disk fails.  Records that come while a commit is under
     way share the next one.
     """
@@ -146,7 +150,9 @@
                     open_damage = (start, end)
                     continue
                 if open_damage:  # a sound record behind it: not a torn end
-                    damages.append(Damage(str(name), open_damage[0], open_damage[1] - open_damage[0], record.at_us))
+                    damages.append(
+                        Damage(str(name), open_damage[0], open_damage[1] - open_damage[0], record.at_us)
+                    )
                     open_damage = None
                 records.append(record)
             if open_damage and name == names[-1]:
@@ -165,7 +171,8 @@
         return records, damages
 
     def _begin(self, records: list[Record]) -> None:
-        """Begin a segment with what still holds, then drop the older ones: in that order, so a kill loses nothing."""
+        """Begin a segment with what still holds, then drop the older ones: in that order, so a kill loses
+        nothing."""
         old = sorted(self._folder.glob("*.log"))
         path = self._folder / f"{self._segment + 1:08d}.log"
         part = path.with_suffix(".part")
--- a/swiftwell/gateway/ports.py
+++ b/swiftwell/gateway/ports.py
@@ -30,7 +30,8 @@
 class AttemptEnd:
     """How an attempt ended: each `Start` gets exactly one.
 
-    `ran` is what the socket proves; `found` 0 untold, 1 warm, 2 loaded, 3 waited; `crowd` calls of the same function
+    `ran` is what the socket proves; `found` 0 untold, 1 warm, 2 loaded, 3 waited; `crowd` calls of the same
+    function
     that stood there; `held` calls the worker held, -1 untold.
     """
 
@@ -47,6 +48,14 @@
     too_large: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class FirstByte:
+    """The answer of an attempt of a streamed class has begun."""
+
+    id: str
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class OrderEnd:
     """How an order to load (or a question) ended."""
@@ -84,7 +93,7 @@
     """The gateway is told to end: nothing new is taken."""
 
 
-Input = Arrive | Gone | AttemptEnd | OrderEnd | Listed | Durable | LedgerDown | Stop
+Input = Arrive | Gone | AttemptEnd | FirstByte | OrderEnd | Listed | Durable | LedgerDown | Stop
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +105,7 @@
     worker: str
     trigger: Trigger
     left_us: int
+    streamed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/swiftwell/gateway/shell.py
@@ -0,0 +1,331 @@
+"""The shell: joins fronts, engine, ledger, list and workers on one Tornado loop, and carries outputs out.
+
+Everything that happens is put in a list; once in a turn of the loop the engine takes it all in one step.
+Nothing is
+decided here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections import Counter
+from pathlib import Path
+
+import prometheus_client
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.iostream import IOStream
+
+from swiftwell import interface as io
+from swiftwell.discovery import sources
+from swiftwell.fronts.mqtt.codec import V5, V311, Connect, Reason
+from swiftwell.fronts.mqtt.contract import Contract
+from swiftwell.fronts.mqtt.endpoint import Endpoint, EndpointBounds
+from swiftwell.fronts.mqtt.subscriber import BrokerLink, Subscriber
+from swiftwell.fronts.trigger import Trigger
+from swiftwell.gateway import ports
+from swiftwell.gateway.clock import Clock
+from swiftwell.gateway.effects import Bounds, Ledger
+from swiftwell.gateway.engine import Engine, tables
+from swiftwell.gateway.journal import Journal, JournalError
+from swiftwell.gateway.logs import Logs
+from swiftwell.http.http1 import Request, Response
+from swiftwell.http.server import Server
+from swiftwell.settings.site import Site, host_port
+from swiftwell.workers.link import Link, LinkBounds
+
+STOP_S = 5.0  # s that calls in flight may take once the gateway is told to end; then they get their answers
+SWEEP_S = 1.0
+
+
+class Gateway:
+    """A running gateway.
+
+    `make` builds the module's router; a benchmark puts another in its place.
+    """
+
+    def __init__(self, site: Site, logs: Logs, make: object = None) -> None:
+        self.site, self.logs = site, logs
+        self.clock = Clock()
+        self._loop = IOLoop.current()
+        self._chance = random.Random(f"{site.name}/{self.clock.wall_us()}")
+        keep = site.ledger
+        self.ledger = Ledger(Bounds(keep.keep_s * 1_000_000, keep.entries, keep.bytes))
+        seed = self._chance.getrandbits(32)
+        told = site.told()
+        extra = {} if make is None else {"make": make}
+        self.engine = Engine(
+            told, self.ledger, seed=seed, margin_us=site.margin_ms * 1_000, max_open=site.open_calls, **extra
+        )
+        self._effects = {band.name: band.effect for band in told.classes}
+        w = site.workers
+        bounds = LinkBounds(
+            w.connections, w.connect_ms / 1e3, w.answer_bytes, order_s=w.order_timeout_ms / 1e3
+        )
+        self.link = Link(site.name, bounds, self.put, self.log)
+        self.journal: Journal | None = None
+        self.endpoint: Endpoint | None = None
+        self.subscribers: list[Subscriber] = []
+        self._inputs: list[ports.Input] = []
+        self._stepping = False
+        self._timer: object = None
+        self._timer_us = 0
+        self._tasks: list[asyncio.Task] = []
+        self._health: Server | None = None
+        self.health_port = self.listener_port = 0
+        self._sweeper = PeriodicCallback(self._sweep, SWEEP_S * 1_000)
+        self.ended = asyncio.Event()
+        self._stopping = False
+        self.replies: Counter[tuple[str, str, str]] = Counter()  # class, kind, reason
+
+    # What the fronts see of us.
+
+    def submit(self, trigger: Trigger) -> None:
+        """Take a trigger."""
+        self.put(ports.Arrive(trigger))
+
+    def gone(self, source: str) -> None:
+        """A front's peer is gone for good."""
+        self.put(ports.Gone(source))
+
+    def wall_ms(self) -> float:
+        """Anchored wall time."""
+        return self.clock.wall_ms()
+
+    def effect(self, band: str) -> io.Effect | None:
+        """What a repeat of a class does."""
+        return self._effects.get(band)
+
+    def log(self, level: str, event: str, **fields: object) -> None:
+        """A line for the log."""
+        self.logs.write(level, event, **fields)
+
+    # Turning.
+
+    def put(self, given: ports.Input) -> None:
+        """Something happened; the engine takes it in this turn of the loop."""
+        self._inputs.append(given)
+        if not self._stepping:
+            self._stepping = True
+            self._loop.add_callback(self._step)
+
+    def _step(self) -> None:
+        self._stepping = False
+        inputs, self._inputs = self._inputs, []
+        for out in self.engine.step(self.clock.now_us(), self.clock.wall_us(), inputs):
+            try:
+                self._carry(out)
+            except Exception as error:  # one output's trouble is not the others'
+                self.log(
+                    "error",
+                    "output-failed",
+                    output=type(out).__name__,
+                    error=f"{type(error).__name__}: {error}",
+                )
+        if self.journal:
+            self.journal.flush()
+        self._arm()
+
+    def _arm(self) -> None:
+        due = self.engine.next_us()
+        if due is None or (self._timer is not None and self._timer_us <= due):
+            return
+        if self._timer is not None:
+            self._loop.remove_timeout(self._timer)
+        self._timer_us = due
+        self._timer = self._loop.call_later(max(0.0, (due - self.clock.now_us()) / 1e6), self._due)
+
+    def _due(self) -> None:
+        self._timer = None
+        if not self._stepping:
+            self._step()
+
+    def _carry(self, out: ports.Output) -> None:
+        match out:
+            case ports.Start():
+                self.link.start(out)
+            case ports.Reply():
+                trigger = out.trigger
+                band = trigger.band if trigger.band in self._effects else ""
+                self.replies[band, out.answer.kind.value, out.answer.reason] += 1
+                trigger.ref.connection[0].replied(trigger, out.answer)  # type: ignore[attr-defined]
+            case ports.Accepted():
+                out.trigger.ref.connection[0].accepted(out.trigger)  # type: ignore[attr-defined]
+            case ports.Write() if self.journal:
+                self.journal.append(out.record)
+            case ports.Abandon():
+                self.link.abandon(out)
+            case ports.Order():
+                self.link.order(out)
+            case ports.Line():
+                self.log(out.level, out.event, **dict(out.fields))
+            case ports.AskList():
+                pass  # every source here tells of changes by itself
+
+    # Start and end.
+
+    async def start(self) -> None:
+        """Open everything; raises JournalError or OSError where something can't be."""
+        site = self.site
+        if any(effect is not io.Effect.SAFE for effect in self._effects.values()):
+            self._open_ledger()
+        self._follow_list()
+        deadlines = site.deadlines_ms()
+        if site.listener:
+            at = site.listener
+            contract = Contract(site.topic, deadlines, site.hint, direct=True)
+            bounds = EndpointBounds(
+                at.connections, at.sessions, at.receive_maximum, at.packet_bytes, at.waiting_bytes,
+                at.waiting_answers, at.open_calls, at.session_s, at.keep_alive_s,
+            )  # fmt: skip
+            self.endpoint = Endpoint(self, contract, bounds, self._admit)
+            self.listener_port = self.endpoint.listen(at.port, at.address)
+            self.log("info", "listening", address=f"{at.address}:{self.listener_port}")
+        for broker in site.brokers:
+            contract = Contract(site.topic, deadlines, site.hint, direct=False)
+            link = BrokerLink(
+                broker.name, tuple(map(host_port, broker.address)), broker.client_id or site.name,
+                (f"{site.topic}/#",), broker.share, V5 if broker.version == "5.0" else V311,
+                broker.username, broker.password, broker.keep_alive_s, broker.session_s,
+                broker.receive_maximum, broker.packet_bytes, answers=broker.waiting_answers,
+                open=broker.open_calls,
+            )  # fmt: skip
+            subscriber = Subscriber(self, contract, link, self._chance)
+            self.subscribers.append(subscriber)
+            self._tasks.append(asyncio.ensure_future(subscriber.run()))
+        if site.health:
+            self._health = Server(self._answer)
+            self.health_port = self._health.start_on(site.health.port, site.health.address)
+        self._sweeper.start()
+        self.put(ports.Listed(io.Members(io.ListKind.DELTA, ())))  # the module sets its first timers
+
+    def _open_ledger(self) -> None:
+        site = self.site
+        folder = Path(site.state) / site.ledger.folder
+        self.journal = Journal(
+            folder,
+            lambda act: self._loop.add_callback(act),
+            lambda number: self.put(ports.Durable(number)),
+            lambda why: self.put(ports.LedgerDown(why)),
+            self.ledger.records,
+        )
+        records, damages = self.journal.open()
+        for record in records:
+            self.ledger.replay(record)
+        self.ledger.forget(self.clock.wall_us())
+        for damage in damages:
+            self.ledger.holes_until = max(
+                self.ledger.holes_until, damage.until_us + site.ledger.keep_s * 1_000_000
+            )
+            self.log("error", "ledger-damaged", file=damage.file, offset=damage.offset, bytes=damage.length)
+        self.log("info", "ledger", folder=str(folder), keys=len(self.ledger), records=len(records))
+
+    def _follow_list(self) -> None:
+        workers = self.site.workers
+        told = lambda members: self.put(ports.Listed(members))  # noqa: E731
+        if workers.list:
+            service = sources.ListService(
+                workers.list.servers, workers.list.service, workers.list.wait_s, self.site.name,
+                self.clock.started_us, told, self.log, self._chance,
+            )  # fmt: skip
+            self._tasks.append(asyncio.ensure_future(service.run()))
+        elif workers.file:
+            watching = sources.watch_file(Path(workers.file), self.clock.started_us, told, self.log)
+            self._tasks.append(asyncio.ensure_future(watching))
+        else:
+            told(sources.static(workers))
+
+    def _admit(self, packet: Connect) -> Reason | None:
+        users = self.site.listener.user if self.site.listener else ()
+        if not users:
+            return None
+        for user in users:
+            if packet.username == user.name and packet.password == user.password.encode():
+                return None
+        return Reason.BAD_CREDENTIALS
+
+    async def _answer(self, request: Request, stream: IOStream) -> Response:
+        if request.target == "/healthz":
+            up = "up" if not self._stopping else "stopping"
+            return Response(200 if not self._stopping else 503, {}, f"{up}\n".encode())
+        if request.target == "/metrics":
+            registry = prometheus_client.CollectorRegistry()
+            registry.register(self)  # type: ignore[arg-type]
+            return Response(200, {"content-type": "text/plain"}, prometheus_client.generate_latest(registry))
+        return Response(404, {}, b"no such page\n")
+
+    def collect(self) -> list[object]:
+        """Figures for Prometheus: counters of the engine, answers by class, the size of every table."""
+        replies = CounterMetricFamily(
+            "swiftwell_replies", "answers given", labels=["class", "kind", "reason"]
+        )
+        for labels, count in self.replies.items():
+            replies.add_metric(list(labels), count)
+        events = CounterMetricFamily("swiftwell_events", "what the engine did", labels=["event"])
+        for name, count in self.engine.counts.items():
+            events.add_metric([name], count)
+        sizes = GaugeMetricFamily("swiftwell_size", "entries in a table", labels=["table"])
+        for name, size in self.sizes().items():
+            sizes.add_metric([name], size)
+        return [replies, events, sizes]
+
+    def sizes(self) -> dict[str, int]:
+        """The size of everything held."""
+        found = tables(self.engine) | self.link.sizes()
+        if self.endpoint:
+            found |= {"connections": self.endpoint.connections, "sessions": len(self.endpoint.clients)}
+        return found
+
+    def _sweep(self) -> None:
+        self.link.sweep()
+        self.logs.sweep()
+
+    async def stop(self) -> None:
+        """Take nothing new, let calls in flight end, answer what is left, close."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self.log("info", "stopping", calls=self.engine.open)
+        if self.endpoint:
+            self.endpoint.stop_listening()
+        self.put(ports.Stop())
+        until = self.clock.now_us() + int(STOP_S * 1e6)
+        while self.engine.open and self.clock.now_us() < until:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.05)  # the last answers go out
+        for subscriber in self.subscribers:
+            subscriber.close()
+        if self.endpoint:
+            self.endpoint.close()
+        for task in self._tasks:
+            task.cancel()
+        if self._health:
+            self._health.stop()
+        self._sweeper.stop()
+        self.link.close()
+        if self.journal:
+            self.journal.close()
+        self.log("info", "stopped")
+        self.ended.set()
+
+    def on_signals(self) -> None:
+        """End at SIGTERM and SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, lambda: asyncio.ensure_future(self.stop()))
+
+
+async def serve(site: Site, logs: Logs) -> int:
+    """Run a gateway until it is told to end; the exit code."""
+    gateway = Gateway(site, logs)
+    try:
+        await gateway.start()
+    except (JournalError, OSError) as error:
+        logs.write("error", "no-start", error=str(error))
+        return 1
+    gateway.on_signals()
+    logs.write("info", "serving", name=site.name, listener=gateway.listener_port, health=gateway.health_port)
+    await gateway.ended.wait()
+    return 0
--- /dev/null
+++ b/swiftwell/settings/site.py
@@ -0,0 +1,362 @@
+"""The settings of one gateway at one site: the document's classes, the checks across them, and what they
+mean to the
+module."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from fnmatch import fnmatchcase
+from pathlib import Path
+
+from swiftwell import interface as io
+from swiftwell.fronts.mqtt.contract import FunctionHint
+from swiftwell.settings.document import Node, Problem, SettingsError, parse
+from swiftwell.settings.schema import Reader, setting
+
+_DAY_MS = 86_400_000
+_EFFECTS = {"safe": io.Effect.SAFE, "keyed": io.Effect.KEYED, "unsafe": io.Effect.UNSAFE}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Class:
+    """A class of calls."""
+
+    name: str = setting(arg=True, low=1, doc="name of the class, a level of the trigger topic")
+    effect: str = setting(
+        "safe",
+        choice=tuple(_EFFECTS),
+        doc="safe to repeat, keyed (workers drop repeats), or unsafe (must never run twice)",
+    )
+    wanted_ms: int = setting(low=1, high=_DAY_MS, doc="ms within which an answer has its full worth")
+    deadline_ms: int = setting(low=1, high=_DAY_MS, doc="ms after which its clients give up at the latest")
+    worth: float = setting(
+        1.0, low=0.0, high=1e6, doc="what an answer in time is worth against other classes"
+    )
+    late_worth: float = setting(0.0, low=0.0, high=1.0, doc="part of the worth that a late answer has")
+    scope: str = setting(
+        "all", choice=("all", "zone", "cell"), doc="keyed: which workers drop repeats of each other's calls"
+    )
+    memory_ms: int = setting(0, low=0, high=_DAY_MS, doc="keyed: ms for which workers drop repeats")
+    streamed: bool = setting(False, doc="answers begin before they end")
+
+
+@dataclass(frozen=True, kw_only=True)
+class MachineKind:
+    """A kind of machine."""
+
+    name: str = setting(arg=True, low=1, doc="name, as the list of workers states it")
+    memory_mb: float = setting(low=1, high=1e9, doc="MB for loaded copies")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Function:
+    """What is known of functions beforehand."""
+
+    pattern: str = setting(
+        arg=True, low=1, doc="function or pattern with * and ?; the first that fits counts"
+    )
+    memory_mb: float = setting(0.0, low=0, high=1e9, doc="MB that a loaded copy takes")
+    lanes: int = setting(1, low=1, high=1024, doc="calls that a copy runs at a time")
+    load_ms: int = setting(0, low=0, high=_DAY_MS, doc="ms that a load usually takes; 0 is unknown")
+    work_ms: int = setting(0, low=0, high=_DAY_MS, doc="ms that a call usually takes; 0 is unknown")
+
+
+@dataclass(frozen=True, kw_only=True)
+class StaticWorker:
+    """A worker that is always on the list."""
+
+    address: str = setting(arg=True, low=3, doc="HOST:PORT")
+    kind: str = setting("", doc="kind of machine")
+    zone: str = setting("", doc="room or zone")
+    cell: int = setting(0, low=0, high=1_000_000, doc="group that drops repeats together")
+
+
+@dataclass(frozen=True, kw_only=True)
+class ListService:
+    """Servers that know the workers."""
+
+    servers: tuple[str, ...] = setting((), doc="HOST:PORT of each server, in the order they are tried")
+    service: str = setting("calc", low=1, doc="name of the service that the workers are instances of")
+    wait_s: int = setting(10, low=1, high=600, doc="s that a question may wait for a change")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Workers:
+    """Workers and what they can do."""
+
+    worker: tuple[StaticWorker, ...] = setting((), doc="a worker that is always on the list")
+    file: str = setting("", doc="file of `worker` nodes, watched for changes")
+    list: ListService | None = setting(None, doc="a list service, asked for changes")
+    zone: str = setting("", doc="zone of this gateway")
+    orders: bool = setting(True, doc="workers take orders to load")
+    misses: bool = setting(False, doc="a worker without a copy answers miss, it loads by order only")
+    idle_life_ms: int = setting(10_000, low=0, high=_DAY_MS, doc="ms that an idle copy stays loaded at least")
+    order_timeout_ms: int = setting(10_000, low=1, high=_DAY_MS, doc="ms until an order counts as unanswered")
+    load_free: float = setting(
+        0.0, low=0, high=1e6, doc="orders to load allowed in a window, whatever the traffic"
+    )
+    load_share: float = setting(
+        0.0, low=0, high=1e3, doc="and so many more for each call taken in the window"
+    )
+    load_window_ms: int = setting(0, low=0, high=_DAY_MS, doc="ms of that window; 0 is no limit")
+    attempts: int = setting(3, low=1, high=16, doc="attempts for one call at most")
+    second_copies: bool = setting(False, doc="a second attempt may start while the first runs")
+    cancel: bool = setting(True, doc="an attempt may be given up before its time")
+    cold_share: float = setting(1.0, low=0.001, high=1, doc="part of its work that a started worker can do")
+    cold_ms: int = setting(0, low=0, high=_DAY_MS, doc="ms until a started worker is warm")
+    fall_multiple: float = setting(1.0, low=0.001, high=1e3, doc="times that part at which it falls over")
+    fall_ms: int = setting(0, low=0, high=_DAY_MS, doc="ms of such load after which it falls over")
+    connections: int = setting(64, low=1, high=4096, doc="connections to one worker at most")
+    connect_ms: int = setting(250, low=1, high=60_000, doc="ms until a connection counts as failed")
+    answer_bytes: int = setting(1 << 20, low=1, high=1 << 28, doc="bytes of an answer at most")
+
+
+@dataclass(frozen=True, kw_only=True)
+class User:
+    """A user name with its password."""
+
+    name: str = setting(arg=True, low=1, doc="user name")
+    password: str = setting(low=1, doc="password")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Listener:
+    """The MQTT endpoint."""
+
+    address: str = setting("127.0.0.1", low=1, doc="address to listen on")
+    port: int = setting(1883, low=0, high=65_535, doc="port; 0 takes a free one")
+    connections: int = setting(10_000, low=1, high=1_000_000, doc="connections at most")
+    sessions: int = setting(20_000, low=1, high=1_000_000, doc="sessions at most, connected or not")
+    receive_maximum: int = setting(256, low=1, high=65_535, doc="unacknowledged triggers of one client")
+    packet_bytes: int = setting(262_144, low=64, high=1 << 28, doc="bytes of a packet at most")
+    waiting_bytes: int = setting(1 << 20, low=1_024, high=1 << 30, doc="bytes that may wait for one client")
+    waiting_answers: int = setting(256, low=1, high=65_535, doc="answers that may wait for one client")
+    open_calls: int = setting(1_024, low=1, high=1_000_000, doc="triggers of one client without an answer")
+    session_s: int = setting(
+        3_600, low=0, high=_DAY_MS, doc="s that a session outlives its connection at most"
+    )
+    keep_alive_s: int = setting(300, low=1, high=65_535, doc="s between two packets of a client at most")
+    user: tuple[User, ...] = setting((), doc="who may connect; without any, everyone may")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Broker:
+    """An MQTT broker that brings triggers."""
+
+    name: str = setting(arg=True, low=1, doc="name, for the log")
+    address: tuple[str, ...] = setting(doc="HOST:PORT, one or several that are tried in turn")
+    client_id: str = setting("", doc="client identifier; the gateway's name where none is given")
+    share: str = setting("", doc="name of a shared subscription, where several gateways take turns")
+    version: str = setting("5.0", choice=("5.0", "3.1.1"), doc="protocol version")
+    username: str = setting("", doc="user name")
+    password: str = setting("", doc="password")
+    keep_alive_s: int = setting(30, low=1, high=65_535, doc="s between two packets of ours at most")
+    session_s: int = setting(3_600, low=0, high=_DAY_MS, doc="s that the broker keeps our session")
+    receive_maximum: int = setting(256, low=1, high=65_535, doc="triggers that we leave unacknowledged")
+    packet_bytes: int = setting(262_144, low=64, high=1 << 28, doc="bytes of a packet at most")
+    waiting_answers: int = setting(10_000, low=1, high=65_535, doc="answers that may wait for the broker")
+    open_calls: int = setting(10_000, low=1, high=1_000_000, doc="its triggers without an answer")
+
+
+@dataclass(frozen=True, kw_only=True)
+class LedgerSettings:
+    """The ledger of effects."""
+
+    folder: str = setting("ledger", low=1, doc="folder, below the state folder")
+    keep_s: int = setting(
+        86_400, low=1, high=31_536_000, doc="s that a key is remembered after its last record"
+    )
+    entries: int = setting(
+        200_000, low=1, high=100_000_000, doc="keys at most; beyond it unsafe calls are refused"
+    )
+    bytes: int = setting(1 << 28, low=1 << 17, high=1 << 34, doc="bytes of keys and answers at most")
+
+
+@dataclass(frozen=True, kw_only=True)
+class LogSettings:
+    """The log."""
+
+    format: str = setting("console", choice=("console", "json"), doc="form of a line")
+    level: str = setting("info", choice=("debug", "info", "warning", "error"), doc="least level written")
+    per_kind: int = setting(
+        20, low=1, high=100_000, doc="lines of one kind in ten seconds; the rest is counted"
+    )
+
+
+@dataclass(frozen=True, kw_only=True)
+class Health:
+    """The page for health and figures."""
+
+    address: str = setting("127.0.0.1", low=1, doc="address to listen on")
+    port: int = setting(0, low=0, high=65_535, doc="port; 0 takes a free one")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Site:
+    """A gateway at its site."""
+
+    name: str = setting("gateway", low=1, doc="name of this gateway, unique among all that share workers")
+    state: str = setting("state", low=1, doc="folder for what outlives the process")
+    gateways: int = setting(1, low=1, high=100_000, doc="gateways that share the workers, this one included")
+    position: int = setting(0, low=0, high=100_000, doc="number of this gateway among them, from 0")
+    topic: str = setting("calls", low=1, doc="first levels of the trigger topics")
+    tick_ms: int = setting(2, low=1, high=100, doc="ms within which a timer of the module comes")
+    margin_ms: int = setting(10, low=0, high=10_000, doc="ms kept back from each call for its answer's way")
+    open_calls: int = setting(
+        20_000, low=1, high=1_000_000, doc="calls at a time; beyond it they are refused"
+    )
+    max_wait_ms: int = setting(
+        2_000, low=0, high=_DAY_MS, doc="ms that a refusal asks a client to wait at most"
+    )
+    classes: tuple[Class, ...] = setting((), node="class", doc="a class of calls")
+    kinds: tuple[MachineKind, ...] = setting((), node="kind", doc="a kind of machine")
+    functions: tuple[Function, ...] = setting(
+        (), node="function", doc="what is known of functions beforehand"
+    )
+    workers: Workers = setting(Workers, doc="where calls run")
+    listener: Listener | None = setting(None, node="mqtt-listener", doc="the MQTT endpoint")
+    brokers: tuple[Broker, ...] = setting((), node="mqtt-broker", doc="an MQTT broker that brings triggers")
+    ledger: LedgerSettings = setting(LedgerSettings, doc="the ledger of effects")
+    log: LogSettings = setting(LogSettings, doc="the log")
+    health: Health | None = setting(None, doc="the page for health and figures")
+
+    def told(self) -> io.Settings:
+        """What the module is told; the rest keeps the neutral defaults of the interface."""
+        workers = self.workers
+        return io.Settings(
+            classes=tuple(
+                io.RequestClass(
+                    name=c.name,
+                    target_us=c.wanted_ms * 1_000,
+                    deadline_us=c.deadline_ms * 1_000,
+                    effect=_EFFECTS[c.effect],
+                    scope=c.scope,
+                    memory_us=c.memory_ms * 1_000,
+                    streamed=c.streamed,
+                    worth=c.worth,
+                    late_worth=c.late_worth,
+                )
+                for c in self.classes
+            ),
+            routers=self.gateways,
+            position=self.position,
+            tick_us=self.tick_ms * 1_000,
+            zone=workers.zone,
+            kind_memory_mb=tuple((kind.name, kind.memory_mb) for kind in self.kinds),
+            idle_life_us=workers.idle_life_ms * 1_000,
+            may_load=workers.orders,
+            misses=workers.misses,
+            load_free=workers.load_free,
+            load_share=workers.load_share,
+            load_window_us=workers.load_window_ms * 1_000,
+            order_timeout_us=workers.order_timeout_ms * 1_000,
+            tells_warm=True,
+            tells_crowd=True,
+            may_cancel=workers.cancel,
+            second_copies=workers.second_copies,
+            retry_after=self.max_wait_ms > 0,
+            max_retry_after_us=self.max_wait_ms * 1_000,
+            max_attempts=workers.attempts,
+            cold_share=workers.cold_share,
+            cold_us=workers.cold_ms * 1_000,
+            fall_multiple=workers.fall_multiple,
+            fall_us=workers.fall_ms * 1_000,
+        )
+
+    def deadlines_ms(self) -> dict[str, float]:
+        """Each class's deadline."""
+        return {one.name: float(one.deadline_ms) for one in self.classes}
+
+    def hint(self, function: str) -> FunctionHint:
+        """What is known of a function beforehand."""
+        for one in self.functions:
+            if fnmatchcase(function, one.pattern):
+                return FunctionHint(one.memory_mb, one.lanes, one.work_ms * 1_000, one.load_ms * 1_000)
+        return FunctionHint()
+
+
+def host_port(text: str) -> tuple[str, int]:
+    """HOST:PORT as its parts; raises ValueError."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def _addresses(reader: Reader, line: int, what: str, addresses: tuple[str, ...]) -> None:
+    for address in addresses:
+        try:
+            host_port(address)
+        except ValueError as error:
+            reader.wrong(line, f"{what}: {error}")
+
+
+def _twice(reader: Reader, what: str, names: list[tuple[str, object]]) -> None:
+    seen: set[str] = set()
+    for name, owner in names:
+        if name in seen:
+            reader.wrong(reader.line(owner), f"{what} {name!r} is given twice")
+        seen.add(name)
+
+
+def _check(reader: Reader, site: Site) -> None:
+    """What no single field can tell."""
+    if not site.classes:
+        reader.wrong(1, "no class of calls: at least one `class NAME` is expected")
+    for one in site.classes:
+        line = reader.line(one)
+        if one.wanted_ms and one.deadline_ms and one.wanted_ms > one.deadline_ms:
+            reader.wrong(line, f"class {one.name}: wanted-ms is beyond deadline-ms")
+        if one.effect == "keyed" and not one.memory_ms:
+            reader.wrong(line, f"class {one.name}: keyed wants memory-ms, for how long workers drop repeats")
+        if "/" in (one.name or "") or set(one.name or "") & set("+#"):
+            reader.wrong(line, f"class {one.name}: a class is one level of a topic, without / + #")
+        longest = site.ledger.keep_s * 1_000
+        if one.effect != "safe" and one.deadline_ms and one.deadline_ms * 4 > longest:
+            reader.wrong(
+                line, f"class {one.name}: ledger keep-s wants four times its deadline at least, for retries"
+            )
+    _twice(reader, "class", [(one.name, one) for one in site.classes])
+    _twice(reader, "kind", [(one.name, one) for one in site.kinds])
+    _twice(reader, "mqtt-broker", [(one.name, one) for one in site.brokers])
+    _twice(reader, "worker", [(one.address, one) for one in site.workers.worker])
+    kinds = {kind.name for kind in site.kinds}
+    for worker in site.workers.worker:
+        _addresses(reader, reader.line(worker), "worker", (worker.address or "",))
+        if worker.kind and worker.kind not in kinds:
+            reader.wrong(reader.line(worker), f"worker: no kind {worker.kind!r} is given")
+    line = reader.line(site.workers)
+    given = bool(site.workers.worker) + bool(site.workers.file) + (site.workers.list is not None)
+    if given != 1:
+        reader.wrong(line, "workers wants one of: worker nodes, a file, a list")
+    if site.workers.list:
+        _addresses(reader, reader.line(site.workers.list), "servers", site.workers.list.servers)
+        if not site.workers.list.servers:
+            reader.wrong(reader.line(site.workers.list), "list wants servers, HOST:PORT of each")
+    for broker in site.brokers:
+        _addresses(reader, reader.line(broker), f"mqtt-broker {broker.name}", broker.address)
+    if site.listener is None and not site.brokers:
+        reader.wrong(1, "nothing brings calls: an `mqtt-listener` or an `mqtt-broker` is expected")
+    if site.position >= site.gateways:
+        reader.wrong(1, f"position {site.position} wants to be below gateways, {site.gateways}")
+
+
+def read(text: str, file: str) -> Site:
+    """A document as the settings of a site; raises SettingsError with everything that is wrong."""
+    nodes = parse(text, file)
+    reader = Reader(file)
+    site: Site = reader.read(Site, Node("", [], {}, nodes, 1))
+    _check(reader, site)
+    if reader.problems:
+        raise SettingsError(sorted(reader.problems, key=lambda problem: problem.line))
+    return site
+
+
+def load(path: Path) -> Site:
+    """Read a file; raises SettingsError, also where the file can't be read."""
+    try:
+        return read(path.read_text(encoding="utf-8"), str(path))
+    except OSError as error:
+        raise SettingsError([Problem(str(path), 0, f"can't be read: {error.strerror}")]) from None
+    except UnicodeDecodeError as error:
+        raise SettingsError([Problem(str(path), 0, f"is not UTF-8 at byte {error.start}")]) from None
--- /dev/null
+++ b/swiftwell/workers/link.py
@@ -0,0 +1,290 @@
+"""The link to workers: carries out attempts and orders over pooled connections, and says what each end
+proves.
+
+An attempt goes through `waiting for a connection` (never ran), then `written` (may have run, from the first
+byte handed to
+the kernel on), until its end.  There is one attempt on a connection at a time, so no answer can be another's;
+bytes that nobody asked for end the connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from swiftwell.fronts.trigger import Ran
+from swiftwell.gateway import ports
+from swiftwell.http.http1 import BadMessage, Begun, Parser, Response, TooLarge, encode
+from swiftwell.interface import Status
+from swiftwell.workers import protocol
+
+IDLE_S = 30.0  # s that an unused connection is kept
+
+
+@dataclass(frozen=True, slots=True)
+class LinkBounds:
+    """What the link allows; the site's settings state it."""
+
+    connections: int = 64  # to one worker
+    connect_s: float = 0.25
+    answer: int = 1 << 20  # bytes of an answer's body
+    idle: int = 16  # unused connections kept to one worker
+    order_s: float = 10.0
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    """An attempt or an order on its way."""
+
+    worker: str
+    data: bytes
+    ended: Callable[[_End], None]
+    began: float
+    first: Callable[[], None] | None = None
+    connection: _Connection | None = None
+    written: bool = False
+    over: bool = False
+    timer: object = None
+
+
+@dataclass(slots=True)
+class _End:
+    """How a job ended: an answer, or a status with what it proves."""
+
+    response: Response | None
+    status: Status
+    ran: Ran
+    too_large: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Worker:
+    idle: list[_Connection] = field(default_factory=list)
+    open: int = 0
+
+
+class _Connection:
+    """One connection to a worker and the job on it."""
+
+    def __init__(self, link: Link, worker: str, stream: IOStream, most: int) -> None:
+        self.link, self.worker, self.stream = link, worker, stream
+        self.parser = Parser(True, most)
+        self.job: _Job | None = None
+        self.since = 0.0
+
+    async def read(self) -> None:
+        """Read answers until the connection ends; always reading, so that a peer's closing is seen at
+        once."""
+        too_large, why = False, ""
+        try:
+            while True:
+                data = await self.stream.read_bytes(65_536, partial=True)
+                job = self.job
+                if job is None:  # a worker that answers twice
+                    why = "bytes that nobody asked for"
+                    break
+                for message in self.parser.feed(data):
+                    if isinstance(message, Begun):
+                        if job.first and not job.over:
+                            job.first()
+                        continue
+                    assert isinstance(message, Response)
+                    self.job = None
+                    reuse = message.keep and self.parser.idle
+                    if reuse:
+                        self.link.release(self)
+                    self.link.end(job, _End(message, Status.OK, Ran.YES))
+                    if not reuse:
+                        return
+        except StreamClosedError:
+            pass
+        except TooLarge as error:
+            too_large, why = True, str(error)
+        except BadMessage as error:
+            why = str(error)
+        finally:
+            if why:
+                self.link.log("warning", "bad-answer", worker=self.worker, why=why)
+            self.link.closed(self, Status.ERROR if why else Status.RESET, too_large)
+
+
+class Link:
+    """All connections to workers.
+
+    `put` takes what happened to the engine; it is called from the loop, never from within `start` or `order`.
+    """
+
+    def __init__(
+        self, gateway: str, bounds: LinkBounds, put: Callable[[ports.Input], None], log: Callable[..., None]
+    ) -> None:
+        self._gateway, self._bounds, self._put, self.log = gateway, bounds, put, log
+        self._workers: dict[str, _Worker] = {}
+        self._jobs: dict[tuple[str, int], _Job] = {}
+        self._client = TCPClient()
+        self._tasks: set[asyncio.Task] = set()
+        self._loop = IOLoop.current()
+
+    def start(self, act: ports.Start) -> None:
+        """Begin an attempt."""
+        key = (act.id, act.number)
+        request = protocol.run(self._gateway, act.worker, act.id, act.number, act.left_us, act.trigger)
+
+        def ended(end: _End) -> None:
+            self._jobs.pop(key, None)
+            latency = int((time.monotonic() - job.began) * 1e6)
+            if end.response is None:
+                told = ports.AttemptEnd(
+                    act.id, act.number, end.status, end.ran, latency_us=latency, too_large=end.too_large
+                )
+            else:
+                v = protocol.ran(end.response)
+                body = end.response.body if v.status is Status.OK else b""
+                told = ports.AttemptEnd(
+                    act.id, act.number, v.status, v.ran, body, latency, v.found, v.crowd, v.held, v.draining
+                )
+            self._put(told)
+
+        job = _Job(act.worker, encode(request), ended, time.monotonic())
+        if act.streamed:
+            job.first = lambda: self._put(ports.FirstByte(act.id, act.number))
+        self._jobs[key] = job
+        self._begin(job)
+
+    def abandon(self, act: ports.Abandon) -> None:
+        """Stop waiting for an attempt: its connection is of no further use."""
+        job = self._jobs.get((act.id, act.number))
+        if job:
+            self._stop(job, act.status)
+
+    def order(self, act: ports.Order) -> None:
+        """Send an order to load, or a question."""
+        request = protocol.hold(self._gateway, act.worker, act.function, act.copies, act.memory_mb, act.lanes)
+
+        def ended(end: _End) -> None:
+            if job.timer:
+                self._loop.remove_timeout(job.timer)
+            latency = int((time.monotonic() - job.began) * 1e6)
+            status, copies, draining = end.status, 0, False
+            if end.response is not None:
+                status, copies, draining = protocol.held(end.response)
+            self._put(ports.OrderEnd(act.number, status, copies, latency, draining))
+
+        job = _Job(act.worker, encode(request), ended, time.monotonic())
+        job.timer = self._loop.call_later(self._bounds.order_s, self._stop, job, Status.TIMEOUT)
+        self._begin(job)
+
+    def _begin(self, job: _Job) -> None:
+        worker = self._workers.setdefault(job.worker, _Worker())
+        while worker.idle:
+            connection = worker.idle.pop()
+            if not connection.stream.closed():
+                self._write(job, connection)
+                return
+        if worker.open >= self._bounds.connections:
+            # Told on a later turn: the engine is in the middle of its outputs.
+            self._loop.add_callback(self.end, job, _End(None, Status.CONNECT_FAILED, Ran.NEVER))
+            return
+        worker.open += 1
+        task = asyncio.ensure_future(self._connect(job, worker))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, job: _Job, worker: _Worker) -> None:
+        host, _, port = job.worker.rpartition(":")
+        try:
+            stream = await asyncio.wait_for(self._client.connect(host, int(port)), self._bounds.connect_s)
+        except (OSError, ValueError, StreamClosedError, TimeoutError):
+            worker.open -= 1
+            self._tidy(job.worker)
+            self.end(job, _End(None, Status.CONNECT_FAILED, Ran.NEVER))
+            return
+        stream.set_nodelay(True)
+        connection = _Connection(self, job.worker, stream, self._bounds.answer)
+        if job.over:  # given up while the connection was opened: keep it for the next
+            self.release(connection)
+        else:
+            self._write(job, connection)
+        await connection.read()
+
+    def _write(self, job: _Job, connection: _Connection) -> None:
+        connection.job, job.connection = job, connection
+        try:
+            future = connection.stream.write(job.data)
+        except (StreamClosedError, StreamBufferFullError):
+            # Nothing was handed over: the stream knew that it was closed.  The reader ends the job.
+            return
+        job.written = True
+        future.add_done_callback(lambda done: done.exception())
+
+    def _stop(self, job: _Job, status: Status) -> None:
+        if job.over:
+            return
+        connection = job.connection
+        end = _End(None, status, Ran.MAYBE) if job.written else _End(None, Status.MOOT, Ran.NEVER)
+        if connection:
+            connection.job = None
+            connection.stream.close()
+        self.end(job, end)
+
+    def end(self, job: _Job, end: _End) -> None:
+        """A job has ended, once."""
+        if not job.over:
+            job.over = True
+            job.ended(end)
+
+    def release(self, connection: _Connection) -> None:
+        """A connection is free again."""
+        worker = self._workers.setdefault(connection.worker, _Worker())
+        connection.job, connection.since = None, time.monotonic()
+        if len(worker.idle) < self._bounds.idle:
+            worker.idle.append(connection)
+        else:
+            connection.stream.close()
+
+    def closed(self, connection: _Connection, status: Status, too_large: bool) -> None:
+        """A connection has ended; so has the job on it."""
+        connection.stream.close()
+        worker = self._workers.get(connection.worker)
+        if worker:
+            worker.open -= 1
+            if connection in worker.idle:
+                worker.idle.remove(connection)
+            self._tidy(connection.worker)
+        job, connection.job = connection.job, None
+        if job and job.written:
+            self.end(job, _End(None, status, Ran.MAYBE, too_large))
+        elif job:
+            self.end(job, _End(None, Status.CONNECT_FAILED, Ran.NEVER))
+
+    def _tidy(self, name: str) -> None:
+        worker = self._workers.get(name)
+        if worker and not worker.open:
+            del self._workers[name]
+
+    def sweep(self) -> None:
+        """Close what was not used for long."""
+        before = time.monotonic() - IDLE_S
+        for worker in list(self._workers.values()):
+            for connection in [c for c in worker.idle if c.since < before]:
+                connection.stream.close()
+
+    def sizes(self) -> dict[str, int]:
+        """What stands now."""
+        return {
+            "worker_connections": sum(worker.open for worker in self._workers.values()),
+            "worker_jobs": len(self._jobs),
+        }
+
+    def close(self) -> None:
+        """End everything."""
+        for task in list(self._tasks):
+            task.cancel()
+        for worker in list(self._workers.values()):
+            for connection in list(worker.idle):
+                connection.stream.close()
