--- /dev/null
+++ b/swiftwell/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m swiftwell`."""
+
+from swiftwell.cli.main import main
+
+main()
--- /dev/null
+++ b/swiftwell/cli/call.py
@@ -0,0 +1,121 @@
+"""`swiftwell call`: publish one trigger and print its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import uuid
+
+import click
+import msgspec
+
+from swiftwell.fronts.mqtt.client import Client, Refused
+from swiftwell.fronts.mqtt.codec import V5, V311, Publish
+from swiftwell.settings.site import host_port
+
+EXIT = {"served": 0, "refused": 3, "failed": 4}  # 5: no answer in time; 1: no connection
+
+
+@click.command()
+@click.argument("address")
+@click.argument("topic")
+@click.argument("payload", default="")
+@click.option("--key", default="", help="The publisher's key; one is drawn where none is given.")
+@click.option("--timeout-ms", default=2_500, show_default=True, help="Time until this client gives up.")
+@click.option("--qos", type=click.IntRange(0, 2), default=1, show_default=True)
+@click.option("--version", type=click.Choice(["5.0", "3.1.1"]), default="5.0", show_default=True)
+@click.option("--user", default=None, help="NAME:PASSWORD")
+@click.option("--json", "as_json", is_flag=True, help="Print the answer as one JSON object.")
+def call(
+    address: str, topic: str, payload: str, key: str, timeout_ms: int, qos: int, version: str, user: str |
+    None,
+    as_json: bool,
+) -> None:  # fmt: skip
+    """Publish one trigger to ADDRESS (HOST:PORT of a gateway or broker) on TOPIC and print the answer.
+
+    The exit code is 0 for served, 3 refused, 4 failed, 5 no answer in time, 1 no connection.
+    """
+    try:
+        host, port = host_port(address)
+    except ValueError as error:
+        raise click.BadParameter(str(error), param_hint="ADDRESS") from None
+    level = V5 if version == "5.0" else V311
+    told = asyncio.run(
+        _call(host, port, topic, payload, key or uuid.uuid4().hex, timeout_ms, qos, level, user)
+    )
+    code = told.pop("code")
+    if as_json:
+        click.echo(msgspec.json.encode(told).decode())
+    else:
+        click.echo(
+            f"{told['status']}" + (f" ({told['reason']})" if told.get("reason") else ""), err=code != 0
+        )
+        if told.get("body"):
+            click.echo(told["body"])
+    sys.exit(code)
+
+
+async def _call(
+    host: str, port: int, topic: str, payload: str, key: str, timeout_ms: int, qos: int, version: int,
+    user: str | None,
+) -> dict:  # fmt: skip
+    answer: asyncio.Future[dict] = asyncio.get_running_loop().create_future()
+    name = f"call-{uuid.uuid4().hex[:12]}"
+    reply = f"answers/{name}"
+
+    def message(packet: Publish) -> None:
+        if answer.done():
+            return
+        if version == V311:
+            told = msgspec.json.decode(packet.payload, type=dict)
+            answer.set_result({k: told.get(k) for k in ("status", "reason", "worker", "body", "wait_ms")})
+        else:
+            found = dict(packet.properties.get("user", []))
+            found["body"] = packet.payload.decode(errors="replace")
+            answer.set_result(found)
+
+    def acked(_: int, reason: int) -> None:
+        if reason >= 0x80 and not answer.done():
+            loop = asyncio.get_running_loop()  # an answer with more to say may be right behind it
+            loop.call_later(0.1, lambda: answer.done() or answer.set_result(
+                {"status": "refused", "reason": f"reason code {reason:#x}"}))  # fmt: skip
+
+    def ended(why: str) -> None:
+        if not answer.done():
+            answer.set_result({"status": "no answer", "reason": why, "code": 1})
+
+    username, _, password = (user or "").partition(":")
+    client = Client(
+        name, version, on_message=message, on_ack=acked, on_end=ended,
+        username=username or None, password=password if user else None,
+    )  # fmt: skip
+    try:
+        await client.connect(host, port)
+        await client.subscribe(reply)
+    except (Refused, OSError, TimeoutError) as error:
+        return {"status": "no connection", "reason": str(error), "code": 1}
+    if version == V311:
+        envelope = {
+            "body": payload,
+            "key": key,
+            "reply": reply,
+            "timeout_ms": timeout_ms,
+            "sent_ms": time.time() * 1e3,
+        }
+        client.publish(Publish(topic, msgspec.json.encode(envelope), qos))
+    else:
+        properties = {
+            "response_topic": reply,
+            "correlation_data": key.encode(),
+            "user": [("key", key), ("timeout-ms", str(timeout_ms)), ("sent-ms", f"{time.time() * 1e3:.3f}")],
+        }
+        client.publish(Publish(topic, payload.encode(), qos, properties=properties))
+    try:
+        told = await asyncio.wait_for(answer, timeout_ms / 1e3)
+    except TimeoutError:
+        told = {"status": "no answer", "reason": f"nothing within {timeout_ms} ms", "code": 5}
+    client._on_end = None
+    await client.close()
+    told.setdefault("code", EXIT.get(str(told.get("status")), 1))
+    return told
--- /dev/null
+++ b/swiftwell/proof/days.py
@@ -0,0 +1,219 @@
+"""Days: scripted loads and troubles, as KDL files, and what they say to each program that plays them.  No
+I/O but reading.
+
+The classes are checked by the same schema as a site's settings; docs/proof.md describes them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from swiftwell.proof.rules import Limits
+from swiftwell.settings.document import Node, Problem, SettingsError, parse
+from swiftwell.settings.schema import Reader, setting
+
+
+@dataclass(frozen=True, kw_only=True)
+class DayClass:
+    """A class of calls, as the gateway is told of it and as publishers make it."""
+
+    name: str = setting(arg=True, low=1, doc="name")
+    effect: str = setting("safe", choice=("safe", "keyed", "unsafe"), doc="what a repeat does")
+    wanted_ms: int = setting(low=1, doc="ms within which an answer has its full worth")
+    deadline_ms: int = setting(low=1, doc="ms after which publishers give up")
+    worth: float = setting(1.0, low=0, doc="worth of an answer in time")
+    share: float = setting(1.0, low=0, doc="share of the calls")
+    work_ms: float = setting(60.0, low=0.1, doc="ms of work on a core of speed 1, on average")
+    functions: int = setting(6, low=1, high=10_000, doc="functions that are asked for again and again")
+    memory_mb: float = setting(400.0, low=1, doc="MB of a loaded copy")
+    lanes: int = setting(2, low=1, high=64, doc="calls that a copy runs at a time")
+    qos: int = setting(1, low=0, high=2, doc="QoS of its triggers")
+    memory_ms: int = setting(0, low=0, doc="keyed: ms for which workers drop repeats")
+
+
+@dataclass(frozen=True, kw_only=True)
+class DayKind:
+    """A kind of calc server."""
+
+    name: str = setting(arg=True, low=1, doc="name")
+    workers: int = setting(low=1, high=1_000, doc="how many")
+    cores: float = setting(4.0, low=0.1, doc="cores")
+    speed: float = setting(1.0, low=0.01, doc="speed of a core")
+    memory_mb: float = setting(8_000.0, low=1, doc="MB for copies")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Crowd:
+    """A crowd of publishers."""
+
+    name: str = setting(arg=True, low=1, doc="name")
+    rate: float = setting(low=0.01, high=10_000, doc="calls a second")
+    clients: int = setting(4, low=1, high=5_000, doc="connections")
+    via: str = setting("endpoint", choice=("endpoint", "broker"), doc="where they connect")
+    version: str = setting("5.0", choice=("5.0", "3.1.1"), doc="protocol version")
+    retries: int = setting(2, low=0, high=10, doc="tries after the first")
+    leave: float = setting(0.0, low=0, high=1, doc="share whose publisher leaves before the answer")
+    one_off: float = setting(0.0, low=0, high=1, doc="share for functions wanted only once")
+    skew_ms: float = setting(0.0, doc="ms by which their clocks are ahead of ours")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Burst:
+    """A burst of calls."""
+
+    at: float = setting(low=0, doc="s after the start")
+    for_s: float = setting(low=0.1, doc="s that it lasts")
+    times: float = setting(2.0, low=0.1, high=100, doc="times the usual rate")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Trouble:
+    """Something that goes wrong."""
+
+    do: str = setting(
+        arg=True,
+        choice=("hang", "pause", "slow", "full", "mute", "reset", "die-after", "twice", "large", "refuse",
+        "die",
+                "drain", "store", "list", "broker", "kill-gateway"),
+        doc="what",
+    )  # fmt: skip
+    at: float = setting(low=0, doc="s after the start")
+    for_s: float = setting(
+        5.0, low=0, doc="s that it lasts; of `die` and `drain`: s until the successor starts"
+    )
+    workers: int = setting(1, low=1, doc="how many calc servers, drawn by the day's seed")
+    one_by_one_s: float = setting(0.0, low=0, doc="s between them; 0 is all at once")
+    times: float = setting(5.0, low=1, doc="slow: times slower")
+    band: str = setting("", doc="full: the class that is turned away; none is all")
+    fault: str = setting("", doc="store, list, broker: which of its faults")
+    keep: bool = setting(True, doc="broker restart: sessions are kept")
+    gateway: int = setting(0, low=0, doc="kill-gateway: which")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fleet:
+    """What all calc servers and the store are like."""
+
+    queue: int = setting(64, low=1, doc="calls that a calc server holds at most")
+    loads: int = setting(4, low=1, doc="loads at a time")
+    start_ms: int = setting(150, low=1, doc="ms that a copy takes to start, once fetched")
+    fetch_ms: int = setting(200, low=1, doc="ms that a fetch from the store takes")
+    store_room: int = setting(12, low=1, doc="fetches that it serves at full pace")
+    store_most: int = setting(64, low=1, doc="fetches past which it refuses")
+    list_late_ms: int = setting(700, low=0, doc="ms by which the list is late")
+    misses: bool = setting(False, doc="no loading without an order")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Day:
+    """A day."""
+
+    doc: str = setting("", doc="what it is for, in a sentence")
+    seconds: float = setting(10.0, low=1, high=3_600, doc="s for which calls arrive")
+    gateways: int = setting(1, low=1, high=64, doc="gateways")
+    share: str = setting("", doc="name of a shared subscription, where gateways take turns at the broker")
+    warm: bool = setting(True, doc="calc servers have been up for long when the day begins")
+    grace_ms: int = setting(500, low=1, doc="ms that rule 3 grants")
+    margin_ms: int = setting(300, low=0, doc="ms that gateways keep back from each call")
+    settings: str = setting("", doc="nodes added to each gateway's `workers` block")
+    classes: tuple[DayClass, ...] = setting(node="class", doc="a class of calls")
+    kinds: tuple[DayKind, ...] = setting(node="kind", doc="a kind of calc server")
+    crowds: tuple[Crowd, ...] = setting(node="publishers", doc="a crowd of publishers")
+    bursts: tuple[Burst, ...] = setting((), node="burst", doc="a burst of calls")
+    troubles: tuple[Trouble, ...] = setting((), node="trouble", doc="something that goes wrong")
+    fleet: Fleet = setting(Fleet, doc="what all calc servers and the store are like")
+    load_free: float = setting(0.0, low=0, doc="rule 5: orders allowed in a window, whatever the traffic")
+    load_share: float = setting(0.0, low=0, doc="rule 5: and so many more for each call")
+    load_window_ms: int = setting(0, low=0, doc="rule 5: ms of the window; 0 is no limit")
+    cold_share: float = setting(
+        0.2, low=0.01, high=1, doc="rule 4: part of its work that a started worker does"
+    )
+    cold_ms: int = setting(8_000, low=0, doc="rule 4: ms until it is warm")
+    fall_multiple: float = setting(2.0, low=0.1, doc="rule 4: times that part at which it falls over")
+    fall_ms: int = setting(2_000, low=1, doc="rule 4: ms over which it is counted")
+
+    def limits(self) -> Limits:
+        """The figures of the rules."""
+        return Limits(
+            self.grace_ms * 1_000,
+            self.load_free,
+            self.load_share,
+            self.load_window_ms * 1_000,
+            {one.name: one.effect for one in self.classes},
+        )
+
+
+def read(text: str, file: str) -> Day:
+    """A day's text; raises SettingsError."""
+    reader = Reader(file)
+    day: Day = reader.read(Day, Node("", [], {}, parse(text, file), 1))
+    count = sum(kind.workers or 0 for kind in day.kinds)
+    for trouble in day.troubles:
+        line = reader.line(trouble)
+        if trouble.workers > count:
+            reader.wrong(line, f"trouble wants {trouble.workers} workers, the day has {count}")
+        if trouble.gateway >= day.gateways:
+            reader.wrong(line, f"trouble names gateway {trouble.gateway}, the day has {day.gateways} from 0")
+    if reader.problems:
+        raise SettingsError(sorted(reader.problems, key=lambda problem: problem.line))
+    return day
+
+
+def folder() -> Path:
+    """Where the days that come with the project stand."""
+    return Path(__file__).resolve().parents[2] / "days"
+
+
+def load(name: str) -> tuple[str, Day]:
+    """A day by its name, or by a path; its name and what it says.  Raises SettingsError."""
+    path = Path(name) if name.endswith(".kdl") else folder() / f"{name}.kdl"
+    try:
+        return path.stem, read(path.read_text(encoding="utf-8"), str(path))
+    except OSError as error:
+        known = ", ".join(sorted(one.stem for one in folder().glob("*.kdl")))
+        text = f"can't be read: {error.strerror}; known days: {known}"
+        raise SettingsError([Problem(str(path), 0, text)]) from None
+
+
+def _quoted(text: str) -> str:
+    return '"' + text.replace("\\", "\\\\").replace('"', '\\"') + '"'
+
+
+def site(
+    day: Day, number: int, state: Path, listener: int, servers: list[str], broker: str, health: int = 0
+) -> str:
+    """The settings document of one gateway on this day."""
+    lines = [
+        f'name "gw-{number}"',
+        f"state {_quoted(str(state))}",
+        f"gateways {day.gateways}",
+        f"position {number}",
+        f"margin-ms {day.margin_ms}",
+    ]
+    for one in day.classes:
+        keyed = f" memory-ms={one.memory_ms}" if one.memory_ms else ""
+        lines.append(
+            f'class "{one.name}" effect="{one.effect}" wanted-ms={one.wanted_ms} '
+            f"deadline-ms={one.deadline_ms} worth={one.worth}{keyed}"
+        )
+        lines.append(f'function "heat/{one.name}-*" memory-mb={one.memory_mb} lanes={one.lanes}')
+    lines += [f'kind "{kind.name}" memory-mb={kind.memory_mb}' for kind in day.kinds]
+    lines.append('function "*" memory-mb=400 lanes=1')
+    lines.append("workers {")
+    lines.append("    list { servers " + " ".join(_quoted(one) for one in servers) + "; wait-s 5 }")
+    lines.append(
+        f"    load-free {day.load_free}; load-share {day.load_share}; load-window-ms {day.load_window_ms}"
+    )
+    lines.append(f"    cold-share {day.cold_share}; cold-ms {day.cold_ms}")
+    lines.append(f"    fall-multiple {day.fall_multiple}; fall-ms {day.fall_ms}")
+    lines.append(f"    misses {'true' if day.fleet.misses else 'false'}")
+    lines.append(f"    {day.settings}")
+    lines.append("}")
+    lines.append(f"mqtt-listener port={listener}")
+    if broker:
+        share = f" share={_quoted(day.share)}" if day.share else ""
+        lines.append(f'mqtt-broker "estate"{share} {{ address {_quoted(broker)} }}')
+    lines.append('log format="json"')
+    lines.append(f"health port={health}")
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/swiftwell/proof/runner.py
@@ -0,0 +1,230 @@
+"""Plays a day: starts every program of it, brings its troubles, collects the traces and asks the checker."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from swiftwell.proof import days
+from swiftwell.proof.rules import check
+from swiftwell.proof.trace import Trace, read
+from swiftwell.proof.verdict import verdict
+
+READY_S = 20.0  # s that a program may take to start
+END_S = 30.0  # s that publishers may take beyond their calls
+
+
+class DayFailed(Exception):
+    """The day could not be played; the text says which program failed, and how."""
+
+
+class Program:
+    """A program of the day: started, told things on its standard input, heard on its standard output."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process, log: Path) -> None:
+        self.name, self.process, self.log = name, process, log
+
+    @classmethod
+    async def start(cls, name: str, folder: Path, *words: str) -> tuple[Program, dict[str, Any]]:
+        """Start `swiftwell WORDS` and wait for its first line, which is returned."""
+        log = folder / f"{name}.log"
+        with open(log, "ab") as err:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "swiftwell", *words,
+                stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=err, limit=1 << 22,
+            )  # fmt: skip
+        program = cls(name, process, log)
+        try:
+            told = await asyncio.wait_for(program.hear(), READY_S)
+        except TimeoutError:
+            process.kill()
+            raise DayFailed(f"{name} did not start in time; see {log}") from None
+        return program, told
+
+    async def hear(self) -> dict[str, Any]:
+        """The next line it says."""
+        assert self.process.stdout
+        line = await self.process.stdout.readline()
+        if not line:
+            tail = self.log.read_text(errors="replace").strip().split("\n")[-5:]
+            raise DayFailed(f"{self.name} ended: " + " | ".join(tail))
+        return msgspec.json.decode(line, type=dict[str, Any])
+
+    async def tell(self, **order: Any) -> dict[str, Any]:
+        """Give it an order and wait for its answer."""
+        assert self.process.stdin
+        self.process.stdin.write(msgspec.json.encode(order) + b"\n")
+        answer = await self.hear()
+        if not answer.get("ok"):
+            raise DayFailed(f"{self.name}: {answer.get('error')}")
+        return answer
+
+    async def end(self, how: int = signal.SIGTERM, within_s: float = 10.0) -> int:
+        """End it; its exit code."""
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(how)
+            try:
+                await asyncio.wait_for(self.process.wait(), within_s)
+            except TimeoutError:
+                self.process.kill()
+                await self.process.wait()
+        return self.process.returncode or 0
+
+
+class Player:
+    """One playing of a day.  `scale` multiplies rates and workers; `progress` hears what happens, for a
+    live view."""
+
+    def __init__(
+        self, name: str, day: days.Day, seed: int, scale: float = 1.0, keep: Path | None = None,
+        progress: Callable[[str, float], None] = lambda text, at: None,
+    ) -> None:  # fmt: skip
+        self.name, self.day, self.seed, self.scale = name, day, seed, scale
+        self._keep, self._progress = keep, progress
+        self._chance = random.Random(f"{name}/{seed}")
+        self.folder = Path()
+        self._gateways: list[Program] = []
+        self._ports: list[int] = []
+        self._sites: list[Path] = []
+        self._programs: list[Program] = []
+        self._workers = 0
+        self._servers: list[str] = []
+        self._broker_at = ""
+        self.gateway_logs: list[Path] = []
+        self.health: list[int] = []
+
+    async def play(self) -> dict[str, Any]:
+        """Play the day; its verdict.  Raises DayFailed."""
+        self.folder = self._keep or Path(tempfile.mkdtemp(prefix="swiftwell-day-"))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        began = time.monotonic()
+        try:
+            await self._start()
+            await self._through()
+        finally:
+            for program in [*self._gateways, *reversed(self._programs)]:
+                await program.end()
+        events = read(self.folder)
+        found = check(events, self.day.limits())
+        result = verdict(self.name, self.seed, time.monotonic() - began, events, found)
+        result["rules_kept"] = not any(found.broken.values()) and not found.lost and not found.doubled
+        if self._keep is None and result["rules_kept"]:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        else:
+            result["folder"] = str(self.folder)
+        return result
+
+    async def _start(self) -> None:
+        day = self.day
+        self._trace = Trace("runner", self.folder / "runner.trace")
+        plan = msgspec.json.encode({"day": msgspec.to_builtins(day), "seed": self.seed, "scale": self.scale})
+        plan_file = self.folder / "plan.json"
+        plan_file.write_bytes(plan)
+        fleet, told = await Program.start(
+            "fleet", self.folder, "standin", "fleet", "--plan", str(plan_file), "--trace", str(self.folder)
+        )
+        self._programs.append(fleet)
+        self._fleet, self._workers = fleet, len(told["workers"])
+        self._servers = told["lists"]
+        self._broker: Program | None = None
+        if any(crowd.via == "broker" for crowd in day.crowds):
+            broker, told = await Program.start(
+                "broker", self.folder, "standin", "broker", "--trace", str(self.folder)
+            )
+            self._programs.append(broker)
+            self._broker, self._broker_at = broker, f"127.0.0.1:{told['port']}"
+        for number in range(day.gateways):
+            self._sites.append(self.folder / f"gw-{number}.kdl")
+            self._ports.append(0)
+            self.health.append(0)
+            self._gateways.append(await self._gateway(number))
+        addresses = {"endpoint": [f"127.0.0.1:{port}" for port in self._ports], "broker": [self._broker_at]}
+        (self.folder / "addresses.json").write_bytes(msgspec.json.encode(addresses))
+        self._crowd, _ = await Program.start(
+            "publishers", self.folder, "standin", "publishers", "--plan", str(plan_file), "--trace",
+            str(self.folder), "--addresses", str(self.folder / "addresses.json"),
+        )  # fmt: skip
+        self._programs.append(self._crowd)
+
+    async def _gateway(self, number: int) -> Program:
+        state = self.folder / f"state-{number}"
+        text = days.site(
+            self.day, number, state, self._ports[number], self._servers, self._broker_at, self.health[number]
+        )
+        self._sites[number].write_text(text)
+        program, told = await Program.start(
+            f"gw-{number}", self.folder, "serve", str(self._sites[number]), "--ready"
+        )
+        self._ports[number], self.health[number] = told["listener"], told["health"]
+        self._trace.note("ready", gw=f"gw-{number}", port=told["listener"])
+        return program
+
+    async def _through(self) -> None:
+        """From the first call to the last answer."""
+        start = time.monotonic()
+        crowd = asyncio.ensure_future(self._crowd.hear())
+        troubles = asyncio.gather(*(self._trouble(one, start) for one in self.day.troubles))
+        self._progress("calls begin", 0.0)
+        try:
+            await asyncio.wait_for(crowd, self.day.seconds + END_S)
+            await asyncio.wait_for(troubles, END_S)
+        except TimeoutError:
+            raise DayFailed("the publishers did not come to an end") from None
+        finally:
+            troubles.cancel()
+            with contextlib.suppress(asyncio.CancelledError, DayFailed):
+                await troubles
+        for number, program in enumerate(self._gateways):
+            if program.process.returncode is not None:
+                raise DayFailed(f"gw-{number} ended by itself; see {program.log}")
+
+    async def _trouble(self, one: days.Trouble, start: float) -> None:
+        picked = self._chance.sample(range(self._workers), min(one.workers, self._workers))
+        await asyncio.sleep(max(0.0, start + one.at - time.monotonic()))
+        self._progress(f"{one.do} {one.fault}".strip(), time.monotonic() - start)
+        match one.do:
+            case "kill-gateway":
+                await self._kill(one.gateway, one.for_s)
+            case "store" | "list":
+                await self._fleet.tell(do=one.do, name=one.fault, for_s=one.for_s)
+            case "broker" if self._broker:
+                await self._broker.tell(do="fault", name=one.fault, for_s=one.for_s, keep=one.keep)
+            case _:
+                for number in picked:
+                    await self._one_worker(one, number)
+                    await asyncio.sleep(one.one_by_one_s)
+
+    async def _one_worker(self, one: days.Trouble, worker: int) -> None:
+        match one.do:
+            case "die":
+                await self._fleet.tell(do="die", worker=worker, back_s=one.for_s)
+            case "drain":
+                await self._fleet.tell(do="drain", worker=worker, end_s=3.0, back_s=one.for_s)
+            case "slow":
+                await self._fleet.tell(
+                    do="fault", worker=worker, name="slow", for_s=one.for_s, times=one.times
+                )
+            case "full":
+                await self._fleet.tell(do="fault", worker=worker, name="full", for_s=one.for_s, band=one.band)
+            case name:
+                await self._fleet.tell(
+                    do="fault", worker=worker, name=name.replace("-", "_"), for_s=one.for_s
+                )
+
+    async def _kill(self, number: int, away_s: float) -> None:
+        self._trace.note("killed", gw=f"gw-{number}")
+        await self._gateways[number].end(signal.SIGKILL)
+        await asyncio.sleep(away_s)
+        self._gateways[number] = await self._gateway(number)
--- /dev/null
+++ b/swiftwell/proof/verdict.py
@@ -0,0 +1,83 @@
+"""The verdict of a day: the checker's findings, service and latency, as one object.  No I/O."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from typing import Any
+
+from swiftwell.proof.rules import Event, Findings
+
+
+def quantile(values: list[float], part: float) -> float:
+    """The smallest value that this part of all values does not exceed; 0 for none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(part * len(ordered)) - 1)]
+
+
+def verdict(day: str, seed: int, seconds: float, events: list[Event], found: Findings) -> dict[str, Any]:
+    """What `day run --json` prints.
+
+    A call is a key with all its tries.  `worth` counts a call once: asked, and answered within its wanted
+    time from its
+    first try.  `latency_ms` is of served tries.
+    """
+    first: dict[str, Event] = {}
+    tries: dict[str, Event] = {}
+    served_at: dict[str, int] = {}
+    last: dict[str, str] = {}
+    latencies: list[float] = []
+    extra = {"redelivered": found.redelivered, "excused": found.excused, "tries": found.tries}
+    counts: dict[str, int] = defaultdict(int)
+    for event in events:
+        match event["ev"]:
+            case "try":
+                first.setdefault(event["key"], event)
+                tries[event["corr"]] = event
+            case "answer" if event["corr"] in tries:
+                one = tries[event["corr"]]
+                last[one["key"]] = event["kind"]
+                if event["kind"] == "served" and one["key"] not in served_at:
+                    served_at[one["key"]] = event["t"]
+                    latencies.append((event["t"] - one["t"]) / 1e3)
+            case "fetch" | "order" | "killed" | "died" | "expired" | "store-refused" | "broker-down":
+                counts[event["ev"]] += 1
+    asked = answered = 0.0
+    by_class: dict[str, dict[str, float]] = {}
+    by_tenant: dict[str, dict[str, float]] = {}
+    for key, one in first.items():
+        in_time = key in served_at and served_at[key] - one["t"] <= one["wanted"]
+        asked += one["worth"]
+        answered += one["worth"] * in_time
+        for table, name in ((by_class, one["band"]), (by_tenant, one["tenant"])):
+            row = table.setdefault(name, {"calls": 0, "served": 0, "in_time": 0})
+            row["calls"] += 1
+            row["served"] += key in served_at
+            row["in_time"] += in_time
+    return {
+        "day": day,
+        "seed": seed,
+        "seconds": round(seconds, 1),
+        "calls": len(first),
+        "served": len(served_at),
+        "refused": sum(kind == "refused" for key, kind in last.items() if key not in served_at),
+        "failed": sum(kind == "failed" for key, kind in last.items() if key not in served_at),
+        "late": found.late,
+        "lost": found.lost,
+        "doubled": found.doubled,
+        "rules": dict(found.broken),
+        "by_class": by_class,
+        "by_tenant": by_tenant,
+        "worth": {"asked": round(asked, 1), "answered_in_time": round(answered, 1)},
+        "latency_ms": {
+            "p50": round(quantile(latencies, 0.5), 1),
+            "p99": round(quantile(latencies, 0.99), 1),
+            "max": round(max(latencies, default=0.0), 1),
+        },
+        "answers": dict(found.kinds),
+        "breaches": found.told,
+        **extra,
+        **{name.replace("-", "_"): count for name, count in sorted(counts.items())},
+    }
--- /dev/null
+++ b/swiftwell/standins/fleet.py
@@ -0,0 +1,97 @@
+"""The calc servers of a day with their store and list in one process, and the publishers of a day in
+another."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from swiftwell.fronts.mqtt.codec import V5, V311
+from swiftwell.proof.days import Day
+from swiftwell.proof.trace import Trace
+from swiftwell.standins.listing import Listing
+from swiftwell.standins.model import Machine
+from swiftwell.standins.publishers import Habit, Plan, Publishers
+from swiftwell.standins.store import Store
+from swiftwell.standins.worker import Worker
+
+
+class Fleet:
+    """Everything behind the gateways of a day."""
+
+    def __init__(self, trace: Trace, day: Day, seed: int, scale: float) -> None:
+        self._day, self._trace = day, trace
+        self._chance = random.Random(f"fleet/{seed}")
+        f = day.fleet
+        room, most = max(1, round(f.store_room * scale)), max(2, round(f.store_most * scale))
+        self._store = Store(trace, f.fetch_ms / 1e3, room, most)
+        self._list = Listing(trace, f.list_late_ms / 1e3)
+        self._workers: list[Worker] = []
+        self._kinds: list[str] = []
+        self._scale = scale
+
+    def start(self) -> dict[str, Any]:
+        """Start all; where they are."""
+        day = self._day
+        store = f"127.0.0.1:{self._store.start()}"
+        work_us = {one.name: one.work_ms * 1e3 for one in day.classes}
+        for kind in day.kinds:
+            machine = Machine(
+                kind.cores, kind.speed, kind.memory_mb, day.fleet.queue, day.fleet.loads,
+                start_us=day.fleet.start_ms * 1_000, cold_share=day.cold_share, cold_us=day.cold_ms * 1_000,
+                fall_multiple=day.fall_multiple, fall_us=day.fall_ms * 1_000, misses=day.fleet.misses,
+                remembers_us=max((one.memory_ms for one in day.classes), default=0) * 1_000,
+            )  # fmt: skip
+            for _ in range(max(1, round(kind.workers * self._scale))):
+                seed = self._chance.getrandbits(32)
+                worker = Worker(self._trace, machine, seed, work_us, store, day.warm, self._changed)
+                worker.start()
+                self._workers.append(worker)
+                self._kinds.append(kind.name)
+                self._show(worker, "running", now=True)
+        return {
+            "workers": [worker.name for worker in self._workers],
+            "lists": [f"127.0.0.1:{self._list.start()}"],
+            "store": store,
+        }
+
+    def _changed(self, worker: Worker, state: str) -> None:
+        self._show(worker, state, now=False)
+
+    def _show(self, worker: Worker, state: str, now: bool) -> None:
+        kind = self._kinds[self._workers.index(worker)]
+        self._list.put(worker.name, state, now, kind=kind, started_ms=worker.started_ms, zone="", cell=0)
+
+    def commands(self) -> dict[str, Callable[..., object]]:
+        """What the control channel may order."""
+        return {
+            "fault": lambda worker, **more: self._workers[worker].fault(**more),
+            "die": lambda worker, **more: self._workers[worker].die(**more),
+            "drain": lambda worker, **more: self._workers[worker].drain(**more),
+            "store": self._store.fault,
+            "list": self._list.fault,
+        }
+
+
+def crowds(
+    trace: Trace, day: Day, seed: int, scale: float, addresses: dict[str, list[str]]
+) -> list[Publishers]:
+    """The publishers of a day."""
+    habits = tuple(
+        Habit(
+            one.name, one.share, one.deadline_ms / 1e3, one.functions, one.qos, wanted_s=one.wanted_ms / 1e3,
+            worth=one.worth,
+        )
+        for one in day.classes
+    )  # fmt: skip
+    out = []
+    for number, crowd in enumerate(day.crowds):
+        plan = Plan(
+            crowd.rate * scale, day.seconds, habits, crowd.clients, crowd.retries, leave=crowd.leave,
+            one_off=crowd.one_off, bursts=tuple((b.at, b.for_s, b.times) for b in day.bursts),
+            skew_ms=crowd.skew_ms,
+        )  # fmt: skip
+        version = V5 if crowd.version == "5.0" else V311
+        out.append(Publishers(trace, plan, addresses[crowd.via], seed * 1_000 + number, version, crowd.name))
+    return out
--- /dev/null
+++ b/swiftwell/standins/publishers.py
@@ -0,0 +1,246 @@
+"""Publishers: consoles and substation gateways that publish triggers, wait, retry with the same key, and
+sometimes leave.
+
+Arrivals are drawn ahead and do not wait for answers.  Each try is traced with its own correlation; a retry
+keeps the
+key.  Answers are taken with their time and kind; whether they are right is the checker's matter.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+
+from swiftwell.fronts.mqtt.client import Client, Refused
+from swiftwell.fronts.mqtt.codec import V5, V311, Publish
+from swiftwell.proof.trace import Trace
+
+
+@dataclass(frozen=True, slots=True)
+class Habit:
+    """A class of calls as publishers make it."""
+
+    band: str
+    share: float
+    patience_s: float
+    functions: int
+    qos: int = 1
+    tenant: str = "estate"
+    wanted_s: float = 1.0
+    worth: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What is published: `rate` triggers a second for `for_s`, times `bursts` (start, length, times)."""
+
+    rate: float
+    for_s: float
+    habits: tuple[Habit, ...]
+    clients: int = 4
+    retries: int = 2
+    retry_s: float = 0.3
+    leave: float = 0.0  # share of tries whose publisher leaves before the answer
+    one_off: float = 0.0  # share of calls for a function that nobody asks for again
+    bursts: tuple[tuple[float, float, float], ...] = ()
+    skew_ms: float = 0.0  # publishers' clocks against ours
+
+
+@dataclass(slots=True, eq=False)
+class _Call:
+    key: str
+    habit: Habit
+    function: str
+    tries: int = 0
+    over: bool = False
+    began: float = 0.0
+    kinds: list[str] = field(default_factory=list)
+
+
+class Publishers:
+    """A crowd of clients that share the calls of a plan.
+
+    `addresses`: HOST:PORT of endpoints or brokers, clients take them in turn.  `version` 4 or 5.
+    """
+
+    def __init__(
+        self, trace: Trace, plan: Plan, addresses: list[str], seed: int, version: int = V5, name: str = "pub",
+        topic: str = "calls",
+    ) -> None:  # fmt: skip
+        self.trace, self.plan, self._addresses, self._version = trace, plan, addresses, version
+        self._chance = random.Random(seed)
+        self._name, self._topic = name, topic
+        self._clients: list[Client] = []
+        self._waiting: dict[str, tuple[_Call, asyncio.Future[str], int]] = {}
+        self._number = 0
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Publish the plan and wait for every try's end."""
+        for number in range(self.plan.clients):
+            client = Client(
+                f"{self._name}-{number}", self._version, on_message=self._answer, session_s=600,
+                on_end=lambda why, n=number: self._ended(n, why),
+            )  # fmt: skip
+            self._clients.append(client)
+            await self._connect(number)
+        start = time.monotonic()
+        for at in self._arrivals():
+            await asyncio.sleep(max(0.0, start + at - time.monotonic()))
+            task = asyncio.ensure_future(self._call(self._draw()))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        while self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=1.0)
+        for client in self._clients:
+            client._on_end = None
+            await client.close()
+
+    async def _connect(self, number: int) -> None:
+        """Connect, again and again: addresses in turn."""
+        turn = number
+        while True:
+            host, _, port = self._addresses[turn % len(self._addresses)].rpartition(":")
+            turn += len(self._addresses) > 1
+            try:
+                await self._clients[number].connect(host, int(port))
+                await self._clients[number].subscribe(f"answers/{self._name}-{number}")
+                self.trace.note("connected", client=f"{self._name}-{number}", to=f"{host}:{port}")
+                return
+            except (Refused, OSError, TimeoutError):
+                await asyncio.sleep(self._chance.uniform(0.1, 0.3))
+
+    def _ended(self, number: int, why: str) -> None:
+        self.trace.note("disconnected", client=f"{self._name}-{number}", why=why)
+        task = asyncio.ensure_future(self._connect(number))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _arrivals(self) -> list[float]:
+        plan, at, out = self.plan, 0.0, []
+        while True:
+            times = 1.0
+            for start, length, factor in plan.bursts:
+                if start <= at < start + length:
+                    times *= factor
+            at += self._chance.expovariate(plan.rate * times)
+            if at >= plan.for_s:
+                return out
+            out.append(at)
+
+    def _draw(self) -> _Call:
+        plan = self.plan
+        habit = self._chance.choices(plan.habits, [h.share for h in plan.habits])[0]
+        self._number += 1
+        if self._chance.random() < plan.one_off:
+            function = f"once/{self._name}-{self._number}"
+        else:  # a few functions draw most calls
+            rank = int(habit.functions ** self._chance.random()) - 1
+            function = f"heat/{habit.band}-{rank}"
+        return _Call(f"{self._name}-{self._number}", habit, function)
+
+    async def _call(self, call: _Call) -> None:
+        """All tries of one call."""
+        number = self._chance.randrange(len(self._clients))
+        call.began = time.monotonic()
+        for attempt in range(self.plan.retries + 1):
+            patience = call.habit.patience_s * (1.0 if attempt == 0 else self._chance.uniform(0.5, 1.0))
+            kind = await self._try(call, number, attempt, patience)
+            if kind in ("served", "left"):
+                return
+            if kind == "failed" and call.habit.band.startswith("consigna"):
+                return  # it may have run; asking again with the same key would say the same
+            await asyncio.sleep(self.plan.retry_s * self._chance.uniform(0.5, 1.5))
+
+    async def _try(self, call: _Call, number: int, attempt: int, patience: float) -> str:
+        client = self._clients[number]
+        if client.connection is None:
+            self.trace.note("unsent", key=call.key)
+            await asyncio.sleep(patience / 2)
+            return "unsent"
+        corr = f"{call.key}.{attempt}"
+        future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._waiting[corr] = (call, future, number)
+        now = time.monotonic_ns() // 1_000
+        leaves = self._chance.random() < self.plan.leave
+        if leaves:
+            return await self._leaver(call, corr, number, attempt, patience)
+        self._note(call, corr, f"{self._name}-{number}", attempt, now, patience)
+        client.publish(self._message(call, corr, number, attempt, patience))
+        try:
+            return await asyncio.wait_for(asyncio.shield(future), patience)
+        except TimeoutError:
+            self.trace.note("gave-up", corr=corr)
+            return "gave-up"
+
+    def _note(self, call: _Call, corr: str, client: str, number: int, now: int, patience: float) -> None:
+        habit = call.habit
+        self.trace.note(
+            "try",
+            client=client,
+            corr=corr,
+            key=call.key,
+            band=habit.band,
+            tenant=habit.tenant,
+            function=call.function,
+            number=number,
+            until=now + int(patience * 1e6),
+            worth=habit.worth,
+            wanted=int(habit.wanted_s * 1e6),
+        )
+
+    async def _leaver(self, call: _Call, corr: str, number: int, attempt: int, patience: float) -> str:
+        """A publisher of its own that goes away before its answer."""
+        name = f"{self._name}-leaver-{corr}"
+        client = Client(name, self._version)
+        self._waiting.pop(corr, None)
+        host, _, port = self._addresses[number % len(self._addresses)].rpartition(":")
+        try:
+            await client.connect(host, int(port))
+        except (Refused, OSError, TimeoutError):
+            return "unsent"
+        self.trace.note("connected", client=name, to=f"{host}:{port}")
+        self._note(call, corr, name, attempt, time.monotonic_ns() // 1_000, patience)
+        self.trace.note("left", corr=corr)
+        client.publish(self._message(call, corr, number, attempt, patience))
+        await asyncio.sleep(self._chance.uniform(0.01, 0.1))
+        client.drop()
+        return "left"
+
+    def _message(self, call: _Call, corr: str, number: int, attempt: int, patience: float) -> Publish:
+        topic = f"{self._topic}/{call.habit.tenant}/{call.habit.band}/{call.function}"
+        sent = time.time() * 1e3 + self.plan.skew_ms
+        timeout = patience * 1e3
+        if self._version == V311:
+            envelope = {
+                "body": {"call": call.key}, "key": call.key, "reply": f"answers/{self._name}-{number}",
+                "correlation": corr, "timeout_ms": timeout, "sent_ms": sent, "attempt": attempt,
+            }  # fmt: skip
+            return Publish(topic, msgspec.json.encode(envelope), call.habit.qos)
+        user = [("key", call.key), ("timeout-ms", f"{timeout:.0f}"), ("sent-ms", f"{sent:.3f}")]
+        if attempt:
+            user.append(("attempt", str(attempt)))
+        properties = {
+            "response_topic": f"answers/{self._name}-{number}",
+            "correlation_data": corr.encode(),
+            "message_expiry": int(patience) + 1,
+            "user": user,
+        }
+        return Publish(topic, f"{call.key} payload".encode(), call.habit.qos, properties=properties)
+
+    def _answer(self, message: Publish) -> None:
+        if self._version == V311:
+            told = msgspec.json.decode(message.payload)
+            corr, kind, reason = told["correlation"], told["status"], told["reason"]
+        else:
+            user = dict(message.properties.get("user", []))
+            corr = message.properties.get("correlation_data", b"").decode()
+            kind, reason = user.get("status", ""), user.get("reason", "")
+        self.trace.note("answer", corr=corr, kind=kind, reason=reason, dup=message.dup)
+        future = self._waiting[corr][1] if corr in self._waiting else None
+        if future and not future.done():
+            future.set_result(kind)
