--- a/swiftwell/fronts/mqtt/contract.py
+++ b/swiftwell/fronts/mqtt/contract.py
@@ -10,7 +10,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -53,6 +53,7 @@
     correlation: bytes | str | None
     key: str
     acked: bool = False
+    also: list[Ref] = field(default_factory=list)  # later deliveries of the same message
 
 
 class _Envelope(msgspec.Struct, forbid_unknown_fields=True):
@@ -66,13 +67,14 @@
     deadline_ms: float | None = None
     sent_ms: float | None = None
     attempt: int = 0
+    unanswered: int | None = None
     memory_mb: float | None = None
     lanes: int | None = None
 
 
 _decode = msgspec.json.Decoder(_Envelope).decode
 _encode = msgspec.json.Encoder().encode
-_NUMBERS = ("timeout-ms", "deadline-ms", "sent-ms", "memory-mb", "lanes", "attempt")
+_NUMBERS = ("timeout-ms", "deadline-ms", "sent-ms", "memory-mb", "lanes", "attempt", "unanswered")
 
 
 def _numbers(pairs: list[tuple[str, str]]) -> dict[str, float]:
@@ -101,15 +103,21 @@
     """Reads triggers for one front.
 
     `deadlines_ms`: class to its deadline; `hint`: function to what the settings tell of it; `prefix`: the
-    first
-    topic levels; `direct`: messages come over the publishers' own connections.
+    first topic levels; `direct`: messages come over the publishers' own connections; `alone`: no other gateway runs
+    what these publishers send.
     """
 
     def __init__(
-        self, prefix: str, deadlines_ms: dict[str, float], hint: Callable[[str], FunctionHint], direct: bool
+        self,
+        prefix: str,
+        deadlines_ms: dict[str, float],
+        hint: Callable[[str], FunctionHint],
+        direct: bool,
+        alone: bool = True,
     ) -> None:
         self._prefix = prefix.strip("/").split("/")
-        self._deadlines, self._hint, self._direct = deadlines_ms, hint, direct
+        self._deadlines, self._hint = deadlines_ms, hint
+        self._direct, self._alone = direct, alone
         self.skew = Skew()
 
     def ref(self, message: Publish, version: int, connection: Any, client: str) -> Ref:
@@ -146,6 +154,11 @@
         most = self._deadlines.get(band, 0.0) or 60_000.0
         left = left_us(told, most, publisher, now_ms, self._direct, self.skew)
         hint = self._hint(function)
+        attempt, unanswered = numbers.get("attempt") or 0, numbers.get("unanswered")
+        # A publisher that has tried before and does not say that it was refused may have been heard
+        # elsewhere.  A
+        # broker's own mark (DUP) tells only that the same session is given a message again.
+        unanswered = attempt > 0 if unanswered is None else unanswered > 0
         return Trigger(
             source=source,
             ref=ref,
@@ -155,7 +168,8 @@
             key=ref.key,
             payload=payload,
             left_us=left,
-            again=message.dup or (numbers.get("attempt") or 0) > 0,
+            again=message.dup or attempt > 0,
+            elsewhere=not self._alone and (unanswered or (self._direct and message.dup)),
             memory_mb=numbers.get("memory-mb") or hint.memory_mb,
             lanes=int(numbers.get("lanes") or hint.lanes),
             hint_us=hint.hint_us,
@@ -179,6 +193,7 @@
             "memory-mb": envelope.memory_mb,
             "lanes": envelope.lanes,
             "attempt": envelope.attempt,
+            "unanswered": envelope.unanswered,
         }
         if any(value is not None and value < 0 for value in numbers.values()):
             raise Rejected(Reason.PAYLOAD_FORMAT, "a number of the envelope is negative")
--- a/swiftwell/fronts/mqtt/peer.py
+++ b/swiftwell/fronts/mqtt/peer.py
@@ -14,6 +14,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from swiftwell.fronts import trigger as tr
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.mqtt import contract
@@ -43,6 +45,9 @@
         self.generation = 0
         self.open = 0
         self.lost_answers = 0
+        self._twins: dict[
+            tuple[str, bytes | str | None], Ref
+        ] = {}  # open triggers by where their answer goes
 
     def attach(self, connection: Connection) -> None:
         """The session goes on over a new connection."""
@@ -86,17 +91,25 @@
             self._respond(ref, Answer(Kind.REFUSED, tr.MALFORMED, str(error).encode()))
             self._ack(ref, error.reason)
             return
+        if message.dup and ref.reply and (twin := self._twins.get((ref.reply, ref.correlation))):
+            # Delivered again while its call is open: one answer will do, and both deliveries are
+            # acknowledged.
+            twin.also.append(ref)
+            if twin.acked:
+                self._ack(ref, Reason.OK)
+            return
         self.open += 1
+        if ref.correlation:
+            self._twins[ref.reply, ref.correlation] = ref
         unsafe = self.host.effect(trigger.band) is Effect.UNSAFE
         if self.open > self.most_open:
-            self.replied(trigger, Answer(Kind.REFUSED, tr.TOO_MANY))
+            trigger = replace(trigger, turned=tr.TOO_MANY)
         elif self.shared and unsafe and message.qos == 1:
             # A broker may give a message of QoS 1 whose acknowledgement was lost to another gateway, as a
             # new one:
             # its ledger could not know.  QoS 2 is delivered to one member of the group only.
-            self.replied(trigger, Answer(Kind.REFUSED, tr.UNSAFE_QOS))
-        else:
-            self.host.submit(trigger)
+            trigger = replace(trigger, turned=tr.UNSAFE_QOS)
+        self.host.submit(trigger)
 
     def accepted(self, trigger: Trigger) -> None:
         """An effect's intent is on disk: the message may be acknowledged."""
@@ -108,6 +121,8 @@
         """Carry the final answer back."""
         ref: Ref = trigger.ref  # type: ignore[assignment]
         self.open -= 1
+        if self._twins.get((ref.reply, ref.correlation)) is ref:
+            del self._twins[ref.reply, ref.correlation]
         self._respond(ref, answer)
         self._ack(ref, contract.code(answer))
 
@@ -126,6 +141,8 @@
             self.host.log("warning", "answer-dropped", source=self.source, reply=ref.reply, why="outbox full")
 
     def _ack(self, ref: Ref, reason: int) -> None:
+        for one in ref.also:
+            self._ack(one, reason)
         if ref.acked:
             return
         ref.acked = True
--- a/swiftwell/fronts/mqtt/session.py
+++ b/swiftwell/fronts/mqtt/session.py
@@ -83,9 +83,13 @@
             out.append(replace(message, dup=True) if message else Ack(Type.PUBREL, number))
         return [*out, *self._fill()]
 
+    def unacknowledged(self) -> list[Publish]:
+        """Messages sent and not acknowledged yet."""
+        return [message for message in self._flight.values() if message]
+
     def reset(self) -> list[Publish]:
         """The peer has lost the session: what it may not have got is sent anew, as new messages."""
-        again = [message for message in self._flight.values() if message]
+        again = self.unacknowledged()
         self._flight.clear()
         self._waiting.extendleft(reversed(again))
         return self._fill()
--- a/swiftwell/fronts/trigger.py
+++ b/swiftwell/fronts/trigger.py
@@ -36,7 +36,10 @@
     gives
     up, already corrected for clock skew.  `again` is set where the publisher, a broker or the protocol says
     that
-    this may have been delivered before.
+    this may have been delivered before; `elsewhere` where another gateway may have been given it, and have
+    run it.
+    `turned`: the front turns it away for this reason; the ledger is still asked, as a key that has run is
+    not refused.
     """
 
     source: str
@@ -48,6 +51,8 @@
     payload: bytes
     left_us: int
     again: bool = False
+    elsewhere: bool = False
+    turned: str = ""
     memory_mb: float = 0.0
     lanes: int = 1
     hint_us: int = 0
--- a/swiftwell/gateway/effects.py
+++ b/swiftwell/gateway/effects.py
@@ -56,7 +56,8 @@
     TOLD = "told"  # it was done: give the recorded answer
     DOUBT = "doubt"  # it may have run: fail
     CONFLICT = "conflict"  # the key stands for something else: refuse
-    SHUT = "shut"  # the ledger cannot promise anything: refuse
+    SHUT = "shut"  # it is the first, and the ledger can take no intent: refuse
+    NOT_NOW = "not now"  # it is the first, and may not run for another reason: refuse
 
 
 @dataclass(slots=True)
@@ -93,7 +94,7 @@
     >>> ledger = Ledger(Bounds(60_000_000, 10, 1_000))
     >>> ledger.claim(0, "t", "k", b"p", False, Effect.UNSAFE, "call-1", 0)[0].name
     'RUN'
-    >>> ledger.claim(1, "t", "k", b"p", True, Effect.UNSAFE, "call-2", 0)
+    >>> ledger.claim(1, "t", "k", b"p", False, Effect.UNSAFE, "call-2", 0)
     (<Verdict.JOIN: 'join'>, 'call-1')
     """
 
@@ -119,14 +120,17 @@
         tenant: str,
         key: str,
         print_: bytes,
-        again: bool,
+        elsewhere: bool,
         effect: Effect,
         call: str,
         remembers_us: int,
+        may_run: bool = True,
     ) -> tuple[Verdict, str | Entry | None]:
         """Decide on a trigger; on RUN the key is claimed for `call`.
 
-        `remembers_us` is how long every worker drops repeats of a keyed class, 0 where only some do.
+        `elsewhere`: another gateway may have been given it.  `remembers_us`: how long every worker drops
+        repeats of a
+        keyed class, 0 where only some do.  `may_run`: else it is only looked up.
         Returns the verdict with the running call (JOIN), the entry (RUN, TOLD, DOUBT) or None.
         """
         self.forget(now_us)
@@ -142,12 +146,13 @@
             if not (effect is Effect.KEYED and now_us < entry.first_us + remembers_us):
                 return Verdict.DOUBT, entry
             first_us = entry.first_us
-        elif self.shut_why or self._full(key):
+        elif now_us < self.holes_until or elsewhere:
+            # Records were lost, or another gateway's ledger would know: it may have run.
+            return Verdict.DOUBT, None
+        if not may_run:
+            return Verdict.NOT_NOW, None
+        if self.shut_why or self._full(key):
             return Verdict.SHUT, None
-        elif now_us < self.holes_until:
-            # Records were lost.  One said to be a repeat may be among them; of one that is not, nobody can
-            # tell whether its publisher has tried before without saying so.
-            return (Verdict.DOUBT if again else Verdict.SHUT), None
         claimed = Entry(Step.INTENT, now_us, print_, call=call, first_us=first_us)
         self._put((tenant, key), claimed)
         return Verdict.RUN, claimed
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -204,15 +204,16 @@
         left = trigger.left_us - self._margin
         if band is None:
             return self._refuse(trigger, tr.UNKNOWN_CLASS)
-        if left <= 0:
-            return self._refuse(trigger, tr.NO_TIME)
-        if self._stopping:
-            return self._refuse(trigger, tr.STOPPING)
+        barred = trigger.turned or (tr.NO_TIME if left <= 0 else tr.STOPPING if self._stopping else "")
         self._numbers += 1
         call = Call(f"c{self._numbers}", trigger, band, self._now + left, False)
         intent = None
-        if band.effect is not Effect.SAFE and (intent := self._claim(call)) is None:
-            return None
+        if band.effect is not Effect.SAFE:
+            # The ledger is asked first, whatever else bars the call: a key that has run is not refused.
+            if (intent := self._claim(call, barred)) is None:
+                return None
+        elif barred:
+            return self._refuse(trigger, barred)
         if len(self._calls) >= self._max_open:
             return self._settle(call, Answer(Kind.REFUSED, tr.TOO_MANY), [Waiter(trigger)])
         self._calls[call.id] = call
@@ -227,7 +228,7 @@
             self._request(call)
         return None
 
-    def _claim(self, call: Call) -> Entry | None:
+    def _claim(self, call: Call, barred: str) -> Entry | None:
         """Ask the ledger for the trigger's key; None where the trigger has been answered or joined."""
         trigger, band = call.trigger, call.band
         if not trigger.key:
@@ -240,10 +241,11 @@
             trigger.tenant,
             trigger.key,
             xxhash.xxh3_128_digest(asked),
-            trigger.again,
+            trigger.elsewhere,
             band.effect,
             call.id,
             remembers,
+            not barred,
         )
         match verdict:
             case Verdict.RUN if isinstance(what, Entry):
@@ -258,13 +260,15 @@
                 self._reply(trigger, Answer(Kind.FAILED, tr.MAY_HAVE_RUN))
             case Verdict.CONFLICT:
                 self._refuse(trigger, tr.KEY_REUSED)
+            case Verdict.NOT_NOW:
+                self._refuse(trigger, barred)
             case _:
                 self._refuse(trigger, tr.LEDGER)
         return None
 
     def _join(self, call: Call, trigger: Trigger) -> None:
-        if len(call.waiters) >= MOST_WAITERS:  # harmless to try again: the key joins again
-            return self._refuse(trigger, tr.TOO_MANY)
+        if len(call.waiters) >= MOST_WAITERS or trigger.left_us <= self._margin:
+            return self._reply(trigger, self._doubt(call))  # no refusal: it is running
         self.counts["joined"] += 1
         self._wait(call, trigger, trigger.left_us - self._margin)
         if not call.awaits:
@@ -531,9 +535,14 @@
             return
         if isinstance(act, io.Fail):
             answer = self._doubt(call)
-        elif call.band.effect is Effect.UNSAFE and call.ran() is not Ran.NEVER:
-            # Rule 2 has two guards: the module's books, and here what the sockets proved.
-            self._log("error", "refusal-withheld", call=call.id)
+        elif call.band.effect is not Effect.SAFE and call.ran() is not Ran.NEVER:
+            # Rule 2 has two guards: the module's books, and here what the sockets proved.  The module also
+            # refuses
+            # a keyed call that may have run where all workers drop repeats; for how long its publisher will
+            # go
+            # on trying nobody knows, so it is told the truth and the ledger decides on each further try.
+            if call.band.effect is Effect.UNSAFE:
+                self._log("error", "refusal-withheld", call=call.id)
             answer = self._doubt(call)
         else:
             answer = Answer(Kind.REFUSED, tr.NOT_RUN, wait_us=act.wait_us, attempts=len(call.attempts))
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -175,7 +175,7 @@
         deadlines = site.deadlines_ms()
         if site.listener:
             at = site.listener
-            contract = Contract(site.topic, deadlines, site.hint, direct=True)
+            contract = Contract(site.topic, deadlines, site.hint, True, site.gateways == 1)
             bounds = EndpointBounds(
                 at.connections, at.sessions, at.receive_maximum, at.packet_bytes, at.waiting_bytes,
                 at.waiting_answers, at.open_calls, at.session_s, at.keep_alive_s,
@@ -184,7 +184,7 @@
             self.listener_port = self.endpoint.listen(at.port, at.address)
             self.log("info", "listening", address=f"{at.address}:{self.listener_port}")
         for broker in site.brokers:
-            contract = Contract(site.topic, deadlines, site.hint, direct=False)
+            contract = Contract(site.topic, deadlines, site.hint, False, site.gateways == 1)
             link = BrokerLink(
                 broker.name, tuple(map(host_port, broker.address)), broker.client_id or site.name,
                 (f"{site.topic}/#",), broker.share, V5 if broker.version == "5.0" else V311,
--- a/swiftwell/standins/broker.py
+++ b/swiftwell/standins/broker.py
@@ -10,7 +10,7 @@
 import asyncio
 import time
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
@@ -304,9 +304,10 @@
                 self._note_delivery(client, one)
             client.connection.send(list(now))
             if self._has("duplicate") and message.qos:
-                client.connection.send(
-                    [Publish(m.topic, m.payload, m.qos, False, True, m.id, m.properties) for m in now]
-                )
+                again = [replace(one, dup=True) for one in now]
+                for one in again:
+                    self._note_delivery(client, one)
+                client.connection.send(list(again))
 
     def _note_delivery(self, client: _Client, message: Publish) -> None:
         self.trace.note("to", client=client.id, dup=message.dup, **_seen(message))
--- a/swiftwell/standins/fleet.py
+++ b/swiftwell/standins/fleet.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import random
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -30,6 +31,7 @@
         self._workers: list[Worker] = []
         self._kinds: list[str] = []
         self._scale = scale
+        self._keys: OrderedDict[str, int] = OrderedDict()  # all servers drop repeats together
 
     def start(self) -> dict[str, Any]:
         """Start all; where they are."""
@@ -45,7 +47,9 @@
             )  # fmt: skip
             for _ in range(max(1, round(kind.workers * self._scale))):
                 seed = self._chance.getrandbits(32)
-                worker = Worker(self._trace, machine, seed, work_us, store, day.warm, self._changed)
+                worker = Worker(
+                    self._trace, machine, seed, work_us, store, day.warm, self._changed, self._keys
+                )
                 worker.start()
                 self._workers.append(worker)
                 self._kinds.append(kind.name)
--- a/swiftwell/standins/model.py
+++ b/swiftwell/standins/model.py
@@ -121,7 +121,9 @@
 class CalcServer:
     """One calc server's life, from start to end."""
 
-    def __init__(self, machine: Machine, now: int, cold: bool = True) -> None:
+    def __init__(
+        self, machine: Machine, now: int, cold: bool = True, keys: OrderedDict[str, int] | None = None
+    ) -> None:
         self.machine = machine
         self.started = now if cold else now - machine.cold_us
         self.fallen = False
@@ -132,7 +134,8 @@
         self._at = now
         self._starts: list[tuple[int, str, _Copy]] = []
         self._offered: deque[tuple[int, float]] = deque()
-        self._keys: OrderedDict[str, int] = OrderedDict()
+        # Keys seen by the group of servers that drop repeats together.
+        self._keys: OrderedDict[str, int] = OrderedDict() if keys is None else keys
         self.fetching = 0
 
     # What is known of it.
--- a/swiftwell/standins/publishers.py
+++ b/swiftwell/standins/publishers.py
@@ -11,7 +11,7 @@
 import asyncio
 import random
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -58,7 +58,7 @@
     tries: int = 0
     over: bool = False
     began: float = 0.0
-    kinds: list[str] = field(default_factory=list)
+    unanswered: bool = False  # a try ended without an answer
 
 
 class Publishers:
@@ -106,6 +106,7 @@
         while True:
             host, _, port = self._addresses[turn % len(self._addresses)].rpartition(":")
             turn += len(self._addresses) > 1
+            _mark(self._clients[number])
             try:
                 await self._clients[number].connect(host, int(port))
                 await self._clients[number].subscribe(f"answers/{self._name}-{number}")
@@ -152,6 +153,7 @@
             kind = await self._try(call, number, attempt, patience)
             if kind in ("served", "left"):
                 return
+            call.unanswered |= kind != "refused"
             if kind == "failed" and call.habit.band.startswith("consigna"):
                 return  # it may have run; asking again with the same key would say the same
             await asyncio.sleep(self.plan.retry_s * self._chance.uniform(0.5, 1.5))
@@ -223,7 +225,7 @@
             return Publish(topic, msgspec.json.encode(envelope), call.habit.qos)
         user = [("key", call.key), ("timeout-ms", f"{timeout:.0f}"), ("sent-ms", f"{sent:.3f}")]
         if attempt:
-            user.append(("attempt", str(attempt)))
+            user += [("attempt", str(attempt)), ("unanswered", str(int(call.unanswered)))]
         properties = {
             "response_topic": f"answers/{self._name}-{number}",
             "correlation_data": corr.encode(),
@@ -244,3 +246,15 @@
         future = self._waiting[corr][1] if corr in self._waiting else None
         if future and not future.done():
             future.set_result(kind)
+
+
+def _mark(client: Client) -> None:
+    """What was sent and not acknowledged may go to another gateway now: it is marked as tried before.
+
+    In 5.0 only; a 3.1.1 publisher's messages go out again as they are, marked DUP where the session goes on.
+    """
+    for message in client.session.outbox.unacknowledged():
+        user = message.properties.get("user")
+        if user and ("unanswered", "1") not in user:
+            message.properties["user"] = [pair for pair in user if pair[0] not in ("attempt", "unanswered")]
+            message.properties["user"] += [("attempt", "1"), ("unanswered", "1")]
--- a/swiftwell/standins/worker.py
+++ b/swiftwell/standins/worker.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 import time
+from collections import OrderedDict
 from urllib.parse import unquote
 
 import msgspec
@@ -34,13 +35,13 @@
 
     def __init__(
         self, trace: Trace, machine: Machine, seed: int, work_us: dict[str, float], store: str = "",
-        warm: bool = True, changed: object = None,
+        warm: bool = True, changed: object = None, keys: OrderedDict[str, int] | None = None,
     ) -> None:  # fmt: skip
         self.trace, self.machine, self._store = trace, machine, store
         self._chance = random.Random(seed)
         self._work_us = work_us
-        self._changed = changed
-        self.model = CalcServer(machine, _now(), cold=not warm)
+        self._changed, self._keys = changed, keys
+        self.model = CalcServer(machine, _now(), cold=not warm, keys=keys)
         self.started_ms = 0.0 if warm else time.time() * 1e3
         self._server: Server | None = None
         self.name, self._port = "", 0
@@ -82,7 +83,7 @@
             IOLoop.current().call_later(back_s, self._back)
 
     def _back(self) -> None:
-        self.model = CalcServer(self.machine, _now(), cold=True)
+        self.model = CalcServer(self.machine, _now(), cold=True, keys=self._keys)
         self.started_ms = time.time() * 1e3
         self.draining = self.down = False
         self._server = Server(self._answer)
