--- a/swiftwell/fronts/mqtt/contract.py
+++ b/swiftwell/fronts/mqtt/contract.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from swiftwell.fronts.mqtt.codec import V5, Publish, Reason
+from swiftwell.fronts.mqtt.codec import V5, V311, Publish, Reason
 from swiftwell.fronts.patience import Skew, Told, left_us
 from swiftwell.fronts.trigger import Answer, Kind, Trigger
 
@@ -74,6 +74,7 @@
 
 _decode = msgspec.json.Decoder(_Envelope).decode
 _encode = msgspec.json.Encoder().encode
+_TELLING = frozenset({"response_topic", "correlation_data", "user"})
 _NUMBERS = ("timeout-ms", "deadline-ms", "sent-ms", "memory-mb", "lanes", "attempt", "unanswered")
 
 
@@ -123,12 +124,11 @@
     def ref(self, message: Publish, version: int, connection: Any, client: str) -> Ref:
         """Where an answer to this message goes, as far as it can be read."""
         properties = message.properties
-        reply = (
-            properties.get("response_topic", "") if version == V5 else f"answers/{client}" if client else ""
-        )
-        return Ref(
-            version, connection, message.id, message.qos, reply, properties.get("correlation_data"), ""
-        )
+        if not self._direct and version == V5 and not properties.keys() & _TELLING:
+            # Through a broker that speaks 5.0 with us a publisher's 3.1.1 message comes without any property.
+            version = V311
+        reply = properties.get("response_topic", "") if version == V5 else f"answers/{client}" if client else ""
+        return Ref(version, connection, message.id, message.qos, reply, properties.get("correlation_data"), "")
 
     def read(self, message: Publish, source: str, ref: Ref, now_ms: float) -> Trigger:
         """A message as a trigger; completes `ref`.  Raises Rejected."""
--- a/swiftwell/fronts/mqtt/peer.py
+++ b/swiftwell/fronts/mqtt/peer.py
@@ -19,7 +19,7 @@
 from swiftwell.fronts import trigger as tr
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.mqtt import contract
-from swiftwell.fronts.mqtt.codec import Ack, Packet, Publish, Reason, Type
+from swiftwell.fronts.mqtt.codec import Ack, Packet, Publish, Reason, Type, encode
 from swiftwell.fronts.mqtt.connection import Connection
 from swiftwell.fronts.mqtt.contract import Contract, Ref, Rejected
 from swiftwell.fronts.mqtt.session import Session
@@ -130,6 +130,15 @@
         message = contract.answer(ref, answer)
         if message is None:
             return
+        connection = self.connection
+        if (
+            connection
+            and connection.peer_most
+            and len(encode(message, connection.version)) > connection.peer_most
+        ):
+            # The client said that it takes no such packet: it is told so, not left without an answer.
+            message = contract.answer(ref, replace(answer, kind=Kind.FAILED, reason=tr.TOO_LARGE, body=b""))
+            assert message is not None
         if message.qos == 0 and self.connection is None:
             self.lost_answers += 1
             return
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -129,7 +129,7 @@
     sessions: int = setting(20_000, low=1, high=1_000_000, doc="sessions at most, connected or not")
     receive_maximum: int = setting(256, low=1, high=65_535, doc="unacknowledged triggers of one client")
     packet_bytes: int = setting(262_144, low=64, high=1 << 28, doc="bytes of a packet at most")
-    waiting_bytes: int = setting(1 << 20, low=1_024, high=1 << 30, doc="bytes that may wait for one client")
+    waiting_bytes: int = setting(1 << 22, low=1_024, high=1 << 30, doc="bytes that may wait for one client")
     waiting_answers: int = setting(256, low=1, high=65_535, doc="answers that may wait for one client")
     open_calls: int = setting(1_024, low=1, high=1_000_000, doc="triggers of one client without an answer")
     session_s: int = setting(
@@ -337,6 +337,11 @@
         _addresses(reader, reader.line(broker), f"mqtt-broker {broker.name}", broker.address)
     if site.listener is None and not site.brokers:
         reader.wrong(1, "nothing brings calls: an `mqtt-listener` or an `mqtt-broker` is expected")
+    if site.listener and site.listener.waiting_bytes < site.workers.answer_bytes + 65_536:
+        reader.wrong(
+            reader.line(site.listener),
+            "waiting-bytes wants room for an answer of workers answer-bytes and 65536 bytes more",
+        )
     if site.position >= site.gateways:
         reader.wrong(1, f"position {site.position} wants to be below gateways, {site.gateways}")
 
