Saved list of workers, trust by age, roster that merges every word of a worker

Need: a gateway that restarts while no list server answers cannot route at all. Change: discovery/ keeps two checksummed generations on disk, grades each entry by its age, asks a worker before it is offered, takes a worker's own word of drain and start, lets what left the list linger as draining so that a flapping list costs no warm copies, and forgets it then. The module drops workers that are gone (two lines).

--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -471,8 +471,10 @@
         paces = sorted(map(self._pace, self.ready))
         self.median = max(0.1, paces[len(paces) // 2]) if paces else 1.0
         self.taken.count(self.now - self.told.load_window_us)  # keeps the window short
-        for worker in self.workers.values():
+        for worker in list(self.workers.values()):
             worker.tidy(self.now, self.now - self.told.fall_us)
+            if worker.entry.state is State.GONE and not worker.inflight:  # else every one that left stays
+                del self.workers[worker.entry.worker]
         for function in list(self.functions.values()):
             if not function.coming and self.now - function.rate.at > KEEP_LIVES * self.told.idle_life_us:
                 del self.functions[function.name]
--- a/swiftwell/cli/main.py
+++ b/swiftwell/cli/main.py
@@ -11,6 +11,7 @@
 
 from swiftwell.cli.call import call
 from swiftwell.cli.day import day, demo
+from swiftwell.cli.lists import list_
 from swiftwell.cli.standin import standin
 from swiftwell.settings.document import SettingsError
 from swiftwell.settings.schema import reference
@@ -29,8 +30,9 @@
 )
 def serve(site: Path, ready: bool) -> None:
     """Run the gateway that SITE describes, until SIGTERM or SIGINT."""
+    from swiftwell.gateway.journal import JournalError
     from swiftwell.gateway.logs import Logs
-    from swiftwell.gateway.shell import Gateway, JournalError
+    from swiftwell.gateway.shell import Gateway
 
     settings = _load(site)
     logs = Logs(settings.log.format, settings.log.level, settings.log.per_kind)
@@ -82,4 +84,5 @@
 main.add_command(call)
 main.add_command(day)
 main.add_command(demo)
+main.add_command(list_)
 main.add_command(standin)
--- a/swiftwell/discovery/sources.py
+++ b/swiftwell/discovery/sources.py
@@ -24,6 +24,7 @@
 SLACK_S = 5.0  # s beyond the asked wait after which a list server counts as hanging
 
 Tell = Callable[[io.Members], None]
+TellSaved = Callable[[tuple[tuple[io.WorkerEntry, int | None], ...]], None]
 Log = Callable[..., None]
 
 
@@ -77,11 +78,15 @@
         tell: Tell,
         log: Log,
         chance: random.Random,
+        peers: tuple[str, ...] = (),
+        tell_saved: TellSaved = lambda entries: None,
     ) -> None:
+        self._peers, self._tell_saved = peers, tell_saved
         self._servers, self._service, self._wait_s, self._gateway = servers, service, wait_s, gateway
         self._started, self._tell, self._log, self._chance = started, tell, log, chance
         self._backoff = Backoff(chance)
         self.index = 0
+        self._body = b""
         self.heard_at = 0.0  # steady time of the last good answer
 
     async def run(self) -> None:
@@ -104,6 +109,25 @@
             finally:
                 client.close()
 
+    async def _ask_peers(self) -> None:
+        """While no server has answered since the start: what other gateways know, with its age."""
+        for address in self._peers:
+            host, port = host_port(address)
+            client = Client(host, port, 0.5)
+            try:
+                target = f"/v1/health/service/{self._service}"
+                answer = await client.ask(Request("GET", target, {"swiftwell-gateway": self._gateway}), 1.0)
+                age = answer.headers.get("x-swiftwell-age-ms", "")
+                if answer.status != 200 or not age.isdigit():
+                    continue
+                entries, _ = from_service(answer.body, self._started)
+                self._tell_saved(tuple((entry, int(age) * 1_000) for entry in entries))
+                self._log("info", "list-of-peer", peer=address, workers=len(entries), age_ms=int(age))
+            except (Unreachable, SettingsError) as error:
+                self._log("info", "peer-silent", peer=address, why=str(error))
+            finally:
+                client.close()
+
     async def _ask(self, client: Client) -> None:
         target = f"/v1/health/service/{self._service}?index={self.index}&wait={self._wait_s}s"
         asked = Request("GET", target, {"swiftwell-gateway": self._gateway})
@@ -115,7 +139,9 @@
             self._log("warning", "list-entry", problem=problem.text, number=problem.line)
         text = answer.headers.get("x-consul-index", "0")
         index = int(text) if text.isdigit() else 0
-        changed = index != self.index
+        # Not by the index alone: what a server tells wrongly at an index it may tell rightly at the same one.
+        changed = index != self.index or answer.body != self._body
+        self._body = answer.body
         # An index that goes backwards or is not given starts from the beginning, as the protocol says.
         self.index = index if index >= self.index else 0
         self.heard_at = time.monotonic()
@@ -123,3 +149,20 @@
             self._tell(io.Members(io.ListKind.FULL, entries))
         if not index:  # a server without an index would be asked without a pause
             await asyncio.sleep(self._chance.uniform(0.5, 1.0))
+
+
+def instance(entry: io.WorkerEntry, started_ms: float) -> dict[str, object]:
+    """A worker in the form of the list service."""
+    host, port = host_port(entry.worker)
+    meta = {
+        "kind": entry.kind,
+        "zone": entry.zone,
+        "cell": str(entry.cell),
+        "started_ms": f"{started_ms:.3f}",
+    }
+    status = "passing" if entry.state is io.State.READY else "warning"
+    return {
+        "Node": {"Node": host},
+        "Service": {"ID": entry.worker, "Service": "calc", "Address": host, "Port": port, "Meta": meta},
+        "Checks": [{"CheckID": "service", "Status": status}],
+    }
--- a/swiftwell/gateway/clock.py
+++ b/swiftwell/gateway/clock.py
@@ -40,3 +40,7 @@
             return 0
         started = int(wall_ms * 1_000) - self._anchor_us
         return started if started > 0 else 0
+
+    def wall_of(self, started_us: int) -> float:
+        """A worker's start in monotonic us as wall-clock ms; 0 where it is untold."""
+        return (started_us + self._anchor_us) / 1_000 if started_us else 0.0
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -16,7 +16,8 @@
 
 from swiftwell import interface as io
 from swiftwell.choice import Router
-from swiftwell.discovery.corrections import Corrections
+from swiftwell.discovery import trust
+from swiftwell.discovery.roster import Roster
 from swiftwell.fronts import trigger as tr
 from swiftwell.fronts.trigger import Answer, Kind, Ran, Trigger
 from swiftwell.gateway import ports
@@ -106,7 +107,9 @@
         self._bands = {band.name: band for band in told.classes}
         self.ledger = ledger
         self.router = make(told, seed)
-        self.list = Corrections()
+        self.list = Roster(told.routers)
+        self._list_timer = 0
+        self._list_at: int | None = None
         self._wheel: Wheel | None = None
         self._now = self._wall = 0
         self._out: list[ports.Output] = []
@@ -191,7 +194,17 @@
             case ports.OrderEnd():
                 self._order_ended(given)
             case ports.Listed():
-                self._events.append(self.list.listed(given.members))
+                self._events.append(self.list.listed(self._now, given.members))
+                self._roster()
+            case ports.Saved():
+                self._members(self.list.saved(self._now, given.entries))
+                self._roster()
+            case ports.Asked():
+                told = self.list.asked(
+                    self._now, given.worker, given.draining, given.started_us, given.answered
+                )
+                self._members(told)
+                self._roster()
             case ports.Gone():
                 self._gone(given.source)
             case ports.LedgerDown():
@@ -352,9 +365,7 @@
         attempt.out, attempt.ran = False, end.ran
         if (end.ran is Ran.NEVER) != (end.status in io.NEVER_RAN):
             raise AssertionError(f"{end.status!r} does not agree with {end.ran!r}")
-        if end.draining and (update := self.list.draining(attempt.worker)):
-            self._log("info", "draining", worker=attempt.worker, call=call.id)
-            self._events.append(update)
+        self._word(attempt.worker, end)
         if end.status is Status.OK and not call.settled:
             body, attempts = end.body, len(call.attempts)
             self._settle(call, Answer(Kind.SERVED, tr.OK, body, worker=attempt.worker, attempts=attempts))
@@ -393,10 +404,37 @@
         if not worker:
             return
         self._wheel.cancel(timer)
-        if end.draining and (update := self.list.draining(worker)):
-            self._events.append(update)
+        self._word(worker, end)
         self._events.append(io.Loaded(worker, function, end.status, self._now - sent, end.copies))
 
+    def _word(self, worker: str, end: ports.AttemptEnd | ports.OrderEnd) -> None:
+        """What a worker says of itself corrects the list at once."""
+        heard = end.answered or end.draining
+        if heard or end.status is Status.CONNECT_FAILED:
+            self._members(self.list.said(self._now, worker, end.draining, end.started_us, heard))
+
+    def _members(self, told: io.Members | None) -> None:
+        """Tell the module of workers."""
+        if told:
+            for entry in told.entries[:5]:
+                self._log("info", "worker", worker=entry.worker, state=entry.state.name.lower())
+            self._events.append(told)
+
+    def _roster(self) -> None:
+        """Ask the workers that the roster wants asked, and come back when it wants more."""
+        self._members(self.list.step(self._now))
+        for worker in self.list.asks(self._now):
+            self._out.append(ports.Ask(worker, trust.ANSWER_US))
+        at = self.list.next_us(self._now)
+        if at is not None and (self._list_at is None or at < self._list_at):
+            self._wheel.cancel(self._list_timer)
+            self._list_at = at
+            self._list_timer = self._wheel.add(max(at, self._now + 1), self._roster_due)
+
+    def _roster_due(self) -> None:
+        self._list_at = None
+        self._roster()
+
     def _gone(self, source: str) -> None:
         """A publisher left: a call nobody waits for any more is the module's to end; its effect is still
         recorded."""
@@ -478,7 +516,7 @@
         for _, _, timer, _ in self._orders.values():  # their answers would mean nothing to new books
             self._wheel.cancel(timer)
         self._orders.clear()
-        self._feed([io.Members(io.ListKind.FULL, tuple(self.list.all()))])
+        self._feed([io.Members(io.ListKind.FULL, tuple(self.list.entries()))])
         new.taken, new.orders, new.retries = old.taken, old.orders, old.retries
         for name, worker in new.workers.items():
             if name in old.workers:
@@ -629,4 +667,5 @@
         "workers": len(router.workers),
         "functions": len(router.functions),
         "module_calls": len(router.calls),
+        **engine.list.sizes(),
     }
--- a/swiftwell/gateway/ports.py
+++ b/swiftwell/gateway/ports.py
@@ -9,7 +9,7 @@
 
 from swiftwell.fronts.trigger import Answer, Ran, Trigger
 from swiftwell.gateway.effects import Record
-from swiftwell.interface import Members, Status
+from swiftwell.interface import Members, Status, WorkerEntry
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +46,8 @@
     held: float = -1.0
     draining: bool = False
     too_large: bool = False
+    started_us: int = 0  # the worker's own word of its start
+    answered: bool = False  # the worker said something, whatever it was
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,15 +67,35 @@
     copies: int
     latency_us: int = 0
     draining: bool = False
+    started_us: int = 0
+    answered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Listed:
-    """An update of the list of workers."""
+    """A live list of workers, or a change to it."""
 
     members: Members
 
 
+@dataclass(frozen=True, slots=True)
+class Saved:
+    """A list from disk or from a peer; each entry with the age in us of its last word, None where it is
+    unknown."""
+
+    entries: tuple[tuple[WorkerEntry, int | None], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """How a question to a worker ended."""
+
+    worker: str
+    answered: bool
+    draining: bool = False
+    started_us: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Durable:
     """All `Write`s up to this number (counted from 1) are on disk."""
@@ -93,7 +115,9 @@
     """The gateway is told to end: nothing new is taken."""
 
 
-Input = Arrive | Gone | AttemptEnd | FirstByte | OrderEnd | Listed | Durable | LedgerDown | Stop
+Input = (
+    Arrive | Gone | AttemptEnd | FirstByte | OrderEnd | Listed | Saved | Asked | Durable | LedgerDown | Stop
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +153,14 @@
     lanes: int
 
 
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask a worker whether it is there; `Asked` follows."""
+
+    worker: str
+    within_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """The final answer to one trigger."""
@@ -167,4 +199,4 @@
     fields: tuple[tuple[str, object], ...] = ()
 
 
-Output = Start | Abandon | Order | Reply | Accepted | Write | AskList | Line
+Output = Start | Abandon | Order | Ask | Reply | Accepted | Write | AskList | Line
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -8,11 +8,15 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import os
 import random
 import signal
+import time
 from collections import Counter
 from pathlib import Path
 
+import msgspec
 import prometheus_client
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from tornado.ioloop import IOLoop, PeriodicCallback
@@ -20,6 +24,7 @@
 
 from swiftwell import interface as io
 from swiftwell.discovery import sources
+from swiftwell.discovery.keeper import Keeper
 from swiftwell.fronts.mqtt.codec import V5, V311, Connect, Reason
 from swiftwell.fronts.mqtt.contract import Contract
 from swiftwell.fronts.mqtt.endpoint import Endpoint, EndpointBounds
@@ -29,7 +34,7 @@
 from swiftwell.gateway.clock import Clock
 from swiftwell.gateway.effects import Bounds, Ledger
 from swiftwell.gateway.engine import Engine, tables
-from swiftwell.gateway.journal import Journal, JournalError
+from swiftwell.gateway.journal import Journal
 from swiftwell.gateway.logs import Logs
 from swiftwell.http.http1 import Request, Response
 from swiftwell.http.server import Server
@@ -64,7 +69,10 @@
         bounds = LinkBounds(
             w.connections, w.connect_ms / 1e3, w.answer_bytes, order_s=w.order_timeout_ms / 1e3
         )
-        self.link = Link(site.name, bounds, self.put, self.log)
+        self.link = Link(site.name, bounds, self.put, self.log, self.clock.started_us)
+        self.keeper: Keeper | None = None
+        self._service: sources.ListService | None = None
+        self._lock = -1
         self.journal: Journal | None = None
         self.endpoint: Endpoint | None = None
         self.subscribers: list[Subscriber] = []
@@ -159,6 +167,8 @@
                 self.link.abandon(out)
             case ports.Order():
                 self.link.order(out)
+            case ports.Ask():
+                self.link.ask(out)
             case ports.Line():
                 self.log(out.level, out.event, **dict(out.fields))
             case ports.AskList():
@@ -169,6 +179,7 @@
     async def start(self) -> None:
         """Open everything; raises JournalError or OSError where something can't be."""
         site = self.site
+        self._lock_state()
         if any(effect is not io.Effect.SAFE for effect in self._effects.values()):
             self._open_ledger()
         self._follow_list()
@@ -201,6 +212,16 @@
         self._sweeper.start()
         self.put(ports.Listed(io.Members(io.ListKind.DELTA, ())))  # the module sets its first timers
 
+    def _lock_state(self) -> None:
+        """One process for each state folder: two would write over each other's ledger and list."""
+        folder = Path(self.site.state)
+        folder.mkdir(parents=True, exist_ok=True)
+        self._lock = os.open(folder / "lock", os.O_CREAT | os.O_RDWR, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            raise OSError(f"{folder}: another gateway holds this state folder") from None
+
     def _open_ledger(self) -> None:
         site = self.site
         folder = Path(site.state) / site.ledger.folder
@@ -226,11 +247,25 @@
         workers = self.site.workers
         told = lambda members: self.put(ports.Listed(members))  # noqa: E731
         if workers.list:
-            service = sources.ListService(
-                workers.list.servers, workers.list.service, workers.list.wait_s, self.site.name,
-                self.clock.started_us, told, self.log, self._chance,
-            )  # fmt: skip
-            self._tasks.append(asyncio.ensure_future(service.run()))
+            told_saved = lambda entries: self.put(ports.Saved(entries))  # noqa: E731
+            self._service = sources.ListService(
+                workers.list.servers,
+                workers.list.service,
+                workers.list.wait_s,
+                self.site.name,
+                self.clock.started_us,
+                told,
+                self.log,
+                self._chance,
+                workers.list.peers,
+                told_saved,
+            )
+            if workers.list.save:
+                folder = Path(self.site.state) / "list"
+                self.keeper = Keeper(folder, self.clock, self.engine.list, self.log, self._loop.add_callback)
+                if entries := self.keeper.load():
+                    told_saved(entries)
+            self._tasks.append(asyncio.ensure_future(self._service.run()))
         elif workers.file:
             watching = sources.watch_file(Path(workers.file), self.clock.started_us, told, self.log)
             self._tasks.append(asyncio.ensure_future(watching))
@@ -254,8 +289,25 @@
             registry = prometheus_client.CollectorRegistry()
             registry.register(self)  # type: ignore[arg-type]
             return Response(200, {"content-type": "text/plain"}, prometheus_client.generate_latest(registry))
+        if request.target.startswith("/v1/health/service/") and self._service:
+            return self._list_for_peers()
         return Response(404, {}, b"no such page\n")
 
+    def _list_for_peers(self) -> Response:
+        """What this gateway knows of workers, with the age of its live list, for one that starts without
+        any."""
+        assert self._service
+        if not self._service.heard_at:
+            return Response(503, {}, b"no live list since the start\n")
+        age_ms = max(0, int((time.monotonic() - self._service.heard_at) * 1e3))
+        shown = [
+            sources.instance(one.entry, self.clock.wall_of(one.entry.started_us))
+            for one in self.engine.list.known.values()
+            if not one.left_us
+        ]
+        headers = {"x-consul-index": str(self._service.index), "x-swiftwell-age-ms": str(age_ms)}
+        return Response(200, headers, msgspec.json.encode(shown))
+
     def collect(self) -> list[object]:
         """Figures for Prometheus: counters of the engine, answers by class, the size of every table."""
         replies = CounterMetricFamily(
@@ -281,6 +333,9 @@
     def _sweep(self) -> None:
         self.link.sweep()
         self.logs.sweep()
+        if self.keeper and self._service:
+            self.keeper.epoch = self._service.index
+            self.keeper.look(int(self._service.heard_at * 1e6))
 
     async def stop(self) -> None:
         """Take nothing new, let calls in flight end, answer what is left, close."""
@@ -307,6 +362,10 @@
         self.link.close()
         if self.journal:
             self.journal.close()
+        if self.keeper:
+            self.keeper.close()
+        if self._lock >= 0:
+            os.close(self._lock)
         self.log("info", "stopped")
         self.ended.set()
 
@@ -315,17 +374,3 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, lambda: asyncio.ensure_future(self.stop()))
-
-
-async def serve(site: Site, logs: Logs) -> int:
-    """Run a gateway until it is told to end; the exit code."""
-    gateway = Gateway(site, logs)
-    try:
-        await gateway.start()
-    except (JournalError, OSError) as error:
-        logs.write("error", "no-start", error=str(error))
-        return 1
-    gateway.on_signals()
-    logs.write("info", "serving", name=site.name, listener=gateway.listener_port, health=gateway.health_port)
-    await gateway.ended.wait()
-    return 0
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -78,6 +78,10 @@
     servers: tuple[str, ...] = setting((), doc="HOST:PORT of each server, in the order they are tried")
     service: str = setting("calc", low=1, doc="name of the service that the workers are instances of")
     wait_s: int = setting(10, low=1, high=600, doc="s that a question may wait for a change")
+    peers: tuple[str, ...] = setting(
+        (), doc="HOST:PORT of other gateways' health pages, asked while no server answers"
+    )
+    save: bool = setting(True, doc="keep the list in the state folder, to start from when no server answers")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -331,6 +335,7 @@
         reader.wrong(line, "workers wants one of: worker nodes, a file, a list")
     if site.workers.list:
         _addresses(reader, reader.line(site.workers.list), "servers", site.workers.list.servers)
+        _addresses(reader, reader.line(site.workers.list), "peers", site.workers.list.peers)
         if not site.workers.list.servers:
             reader.wrong(reader.line(site.workers.list), "list wants servers, HOST:PORT of each")
     for broker in site.brokers:
--- a/swiftwell/standins/publishers.py
+++ b/swiftwell/standins/publishers.py
@@ -78,6 +78,7 @@
         self._waiting: dict[str, tuple[_Call, asyncio.Future[str], int]] = {}
         self._number = 0
         self._tasks: set[asyncio.Task] = set()
+        self._connecting: set[int] = set()
 
     async def run(self) -> None:
         """Publish the plan and wait for every try's end."""
@@ -101,7 +102,17 @@
             await client.close()
 
     async def _connect(self, number: int) -> None:
-        """Connect, again and again: addresses in turn."""
+        """Connect, again and again: addresses in turn.  One at a time for a client, or they take over from
+        each other."""
+        if number in self._connecting:
+            return
+        self._connecting.add(number)
+        try:
+            await self._until_connected(number)
+        finally:
+            self._connecting.discard(number)
+
+    async def _until_connected(self, number: int) -> None:
         turn = number
         while True:
             host, _, port = self._addresses[turn % len(self._addresses)].rpartition(":")
@@ -110,6 +121,8 @@
             try:
                 await self._clients[number].connect(host, int(port))
                 await self._clients[number].subscribe(f"answers/{self._name}-{number}")
+                if self._clients[number].connection is None:
+                    continue  # lost again meanwhile
                 self.trace.note("connected", client=f"{self._name}-{number}", to=f"{host}:{port}")
                 return
             except (Refused, OSError, TimeoutError):
--- a/swiftwell/standins/worker.py
+++ b/swiftwell/standins/worker.py
@@ -50,6 +50,7 @@
         self._timer: object = None
         self._tasks: set[asyncio.Task] = set()
         self.draining = self.down = False
+        self.tells_start = True
         self._full: dict[str, float] = {}
         self._until: dict[str, float] = {}  # fault: when it ends
         self._life = 0
@@ -168,10 +169,14 @@
         if life != self._life:
             return None
         if request.target.startswith("/run/"):
-            return await self._run(request, stream, gateway, life)
-        if request.target.startswith("/copies/"):
-            return await self._copies(request, gateway)
-        return Response(404, {}, b"no such resource\n")
+            answer = await self._run(request, stream, gateway, life)
+        elif request.target.startswith("/copies/"):
+            answer = await self._copies(request, gateway)
+        else:
+            answer = Response(404, {}, b"no such resource\n")
+        if answer and self.tells_start:
+            answer.headers["swiftwell-started-ms"] = f"{self.started_ms:.3f}"
+        return answer
 
     def _refusal(self, band: str) -> str:
         if self.draining:
@@ -231,7 +236,12 @@
     async def _copies(self, request: Request, gateway: str) -> Response:
         function = unquote(request.target[8:])
         if request.method == "GET":
-            return _count(self.model.copies(function))
+            self.trace.note("asked", worker=self.name, gw=gateway)
+            answer = _count(self.model.copies(function))
+            if self.draining:
+                self.trace.note("turned", worker=self.name, gw=gateway, call="", verdict="draining")
+                answer.headers["swiftwell-verdict"] = "draining"
+            return answer
         if request.method == "DELETE":
             self._carry(self.model.unload(_now(), function))
             return _count(self.model.copies(function))
--- a/swiftwell/workers/link.py
+++ b/swiftwell/workers/link.py
@@ -121,9 +121,16 @@
     """
 
     def __init__(
-        self, gateway: str, bounds: LinkBounds, put: Callable[[ports.Input], None], log: Callable[..., None]
+        self,
+        gateway: str,
+        bounds: LinkBounds,
+        put: Callable[[ports.Input], None],
+        log: Callable[..., None],
+        started: Callable[[float], int] = lambda ms: 0,
     ) -> None:
         self._gateway, self._bounds, self._put, self.log = gateway, bounds, put, log
+        self._started = started  # a worker's start in wall-clock ms as monotonic us
+        self._started = started  # a worker's wall-clock start as monotonic us
         self._workers: dict[str, _Worker] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
         self._client = TCPClient()
@@ -144,9 +151,19 @@
                 )
             else:
                 v = protocol.ran(end.response)
-                body = end.response.body if v.status is Status.OK else b""
                 told = ports.AttemptEnd(
-                    act.id, act.number, v.status, v.ran, body, latency, v.found, v.crowd, v.held, v.draining
+                    act.id,
+                    act.number,
+                    v.status,
+                    v.ran,
+                    end.response.body if v.status is Status.OK else b"",
+                    latency,
+                    v.found,
+                    v.crowd,
+                    v.held,
+                    v.draining,
+                    started_us=self._started(v.started_ms),
+                    answered=True,
                 )
             self._put(told)
 
@@ -170,15 +187,33 @@
             if job.timer:
                 self._loop.remove_timeout(job.timer)
             latency = int((time.monotonic() - job.began) * 1e6)
-            status, copies, draining = end.status, 0, False
+            status, copies, draining, start = end.status, 0, False, 0
             if end.response is not None:
                 status, copies, draining = protocol.held(end.response)
-            self._put(ports.OrderEnd(act.number, status, copies, latency, draining))
+                start = self._started(protocol.started_ms(end.response))
+            heard = end.response is not None
+            self._put(ports.OrderEnd(act.number, status, copies, latency, draining, start, heard))
 
         job = _Job(act.worker, encode(request), ended, time.monotonic())
         job.timer = self._loop.call_later(self._bounds.order_s, self._stop, job, Status.TIMEOUT)
         self._begin(job)
 
+    def ask(self, act: ports.Ask) -> None:
+        """Ask a worker whether it is there; any answer says so."""
+        request = protocol.hold(self._gateway, act.worker, protocol.NO_FUNCTION, 0, 0.0, 1)
+
+        def ended(end: _End) -> None:
+            self._loop.remove_timeout(job.timer)
+            draining, start = False, 0
+            if end.response is not None:
+                draining = protocol.held(end.response)[2]
+                start = self._started(protocol.started_ms(end.response))
+            self._put(ports.Asked(act.worker, end.response is not None, draining, start))
+
+        job = _Job(act.worker, encode(request), ended, time.monotonic())
+        job.timer = self._loop.call_later(act.within_us / 1e6, self._stop, job, Status.TIMEOUT)
+        self._begin(job)
+
     def _begin(self, job: _Job) -> None:
         worker = self._workers.setdefault(job.worker, _Worker())
         while worker.idle:
--- a/swiftwell/workers/protocol.py
+++ b/swiftwell/workers/protocol.py
@@ -12,6 +12,7 @@
 from swiftwell.http.http1 import Request, Response
 from swiftwell.interface import Status
 
+NO_FUNCTION = "-"  # a question that is about the worker and no function
 _FOUND = {"warm": 1, "loaded": 2, "waited": 3}
 
 
@@ -25,6 +26,7 @@
     crowd: int = 0
     held: float = -1.0
     draining: bool = False
+    started_ms: float = 0.0  # the worker's own word of its start, ms since 1970
 
 
 def run(gateway: str, worker: str, id_: str, number: int, left_us: int, trigger: Trigger) -> Request:
@@ -63,7 +65,12 @@
         value = float(response.headers.get(name, default))
     except ValueError:
         return default
-    return value if 0 <= value < 1e9 else default
+    return value if 0 <= value < 1e15 else default
+
+
+def started_ms(response: Response) -> float:
+    """The start that a worker says of itself; 0 where it says none."""
+    return _number(response, "swiftwell-started-ms", 0.0)
 
 
 def ran(response: Response) -> Verdict:
@@ -76,14 +83,15 @@
     verdict = response.headers.get("swiftwell-verdict", "")
     held = _number(response, "swiftwell-held", -1.0)
     crowd = int(_number(response, "swiftwell-crowd", 0))
+    start = started_ms(response)
     if response.status == 200:
         found = _FOUND.get(response.headers.get("swiftwell-found", ""), 0)
-        return Verdict(Status.OK, Ran.YES, found, crowd, held, verdict == "draining")
+        return Verdict(Status.OK, Ran.YES, found, crowd, held, verdict == "draining", start)
     if response.status == 503 and verdict in ("full", "draining"):
-        return Verdict(Status.FULL, Ran.NEVER, 0, crowd, held, verdict == "draining")
+        return Verdict(Status.FULL, Ran.NEVER, 0, crowd, held, verdict == "draining", start)
     if response.status == 404 and verdict == "miss":
-        return Verdict(Status.MISS, Ran.NEVER, 0, crowd, held)
-    return Verdict(Status.ERROR, Ran.MAYBE, 0, crowd, held)
+        return Verdict(Status.MISS, Ran.NEVER, 0, crowd, held, False, start)
+    return Verdict(Status.ERROR, Ran.MAYBE, 0, crowd, held, verdict == "draining", start)
 
 
 def held(response: Response) -> tuple[Status, int, bool]:
