--- a/swiftwell/discovery/keeper.py
+++ b/swiftwell/discovery/keeper.py
@@ -73,7 +73,7 @@
                 one.entry.zone,
                 one.entry.cell,
                 one.entry.state is not io.State.READY,
-                max(0, one.entry.started_us - now + wall) if one.entry.started_us else 0,
+                max(1, one.entry.started_us - now + wall) if one.entry.started_us else 0,
                 wall - (now - listed_us) if one.listed_us else 0,
                 max(0, wall - (now - one.answered_us)) if one.answered_us else 0,
             )
--- a/swiftwell/gateway/clock.py
+++ b/swiftwell/gateway/clock.py
@@ -38,8 +38,9 @@
         """
         if wall_ms <= 0:
             return 0
-        started = int(wall_ms * 1_000) - self._anchor_us
-        return started if started > 0 else 0
+        # Negative where it was before this machine's clock began: a restart of the gateway's machine must
+        # not make every worker's start unknown.
+        return int(wall_ms * 1_000) - self._anchor_us or -1
 
     def wall_of(self, started_us: int) -> float:
         """A worker's start in monotonic us as wall-clock ms; 0 where it is untold."""
--- a/swiftwell/interface.py
+++ b/swiftwell/interface.py
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
-    """One line of the list of workers; `started_us` 0 means long ago."""
+    """One line of the list of workers; `started_us` 0 means long ago, untold."""
 
     worker: str
     state: State
--- a/swiftwell/proof/days.py
+++ b/swiftwell/proof/days.py
@@ -115,6 +115,16 @@
     share: str = setting("", doc="name of a shared subscription, where gateways take turns at the broker")
     warm: bool = setting(True, doc="calc servers have been up for long when the day begins")
     grace_ms: int = setting(500, low=1, doc="ms that rule 3 grants")
+    list_down_s: float = setting(0.0, low=0, doc="s from before the gateways start that the list is away")
+    saved: str = setting(
+        "none",
+        choice=("none", "trust", "blind"),
+        doc="list that gateways start from: none, a saved one, or a file believed as it stands",
+    )
+    saved_age_s: float = setting(86_400.0, low=0, doc="saved: s since it was written")
+    saved_wrong: float = setting(
+        0.0, low=0, high=1, doc="saved: part of its entries drained, replaced or moved since"
+    )
     margin_ms: int = setting(300, low=0, doc="ms that gateways keep back from each call")
     settings: str = setting("", doc="nodes added to each gateway's `workers` block")
     classes: tuple[DayClass, ...] = setting(node="class", doc="a class of calls")
@@ -181,7 +191,14 @@
 
 
 def site(
-    day: Day, number: int, state: Path, listener: int, servers: list[str], broker: str, health: int = 0
+    day: Day,
+    number: int,
+    state: Path,
+    listener: int,
+    servers: list[str],
+    broker: str,
+    health: int = 0,
+    file: str = "",
 ) -> str:
     """The settings document of one gateway on this day."""
     lines = [
@@ -201,7 +218,10 @@
     lines += [f'kind "{kind.name}" memory-mb={kind.memory_mb}' for kind in day.kinds]
     lines.append('function "*" memory-mb=400 lanes=1')
     lines.append("workers {")
-    lines.append("    list { servers " + " ".join(_quoted(one) for one in servers) + "; wait-s 5 }")
+    if file:
+        lines.append(f"    file {_quoted(file)}")
+    else:
+        lines.append("    list { servers " + " ".join(_quoted(one) for one in servers) + "; wait-s 5 }")
     lines.append(
         f"    load-free {day.load_free}; load-share {day.load_share}; load-window-ms {day.load_window_ms}"
     )
--- a/swiftwell/proof/runner.py
+++ b/swiftwell/proof/runner.py
@@ -16,10 +16,11 @@
 
 import msgspec
 
+from swiftwell.discovery import saved
 from swiftwell.proof import days
 from swiftwell.proof.rules import check
 from swiftwell.proof.trace import Trace, read
-from swiftwell.proof.verdict import verdict
+from swiftwell.proof.verdict import starting, verdict
 
 READY_S = 20.0  # s that a program may take to start
 END_S = 30.0  # s that publishers may take beyond their calls
@@ -119,6 +120,8 @@
         events = read(self.folder)
         found = check(events, self.day.limits())
         result = verdict(self.name, self.seed, time.monotonic() - began, events, found)
+        if self.day.list_down_s or self.day.saved != "none":
+            result["start"] = starting(events)
         result["rules_kept"] = not any(found.broken.values()) and not found.lost and not found.doubled
         if self._keep is None and result["rules_kept"]:
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -136,7 +139,7 @@
             "fleet", self.folder, "standin", "fleet", "--plan", str(plan_file), "--trace", str(self.folder)
         )
         self._programs.append(fleet)
-        self._fleet, self._workers = fleet, len(told["workers"])
+        self._fleet, self._workers, fleet_told = fleet, len(told["workers"]), told
         self._servers = told["lists"]
         self._broker: Program | None = None
         if any(crowd.via == "broker" for crowd in day.crowds):
@@ -145,6 +148,7 @@
             )
             self._programs.append(broker)
             self._broker, self._broker_at = broker, f"127.0.0.1:{told['port']}"
+        await self._prepare_lists(fleet_told)
         for number in range(day.gateways):
             self._sites.append(self.folder / f"gw-{number}.kdl")
             self._ports.append(0)
@@ -158,10 +162,50 @@
         )  # fmt: skip
         self._programs.append(self._crowd)
 
+    async def _prepare_lists(self, told: dict[str, Any]) -> None:
+        """Saved lists as old as the day says, and a fleet that has changed since they were written."""
+        day = self.day
+        workers, starts, kinds = list(told["workers"]), list(told["started_ms"]), told["kinds"]
+        wrong = self._chance.sample(range(len(workers)), round(day.saved_wrong * len(workers)))
+        for count, number in enumerate(wrong):
+            what = ("drained", "replaced", "moved")[count % 3]
+            self._trace.note("wrong", worker=workers[number], what=what)
+            if what == "drained":
+                await self._fleet.tell(do="drain", worker=number, end_s=3_600.0)
+            elif what == "replaced":
+                await self._fleet.tell(do="die", worker=number, back_s=0.2)
+            else:  # the list names an address where nothing is any more
+                workers[number] = f"127.0.0.1:{1 + number}"
+        if wrong:
+            await asyncio.sleep(0.2 + day.fleet.list_late_ms / 1e3 + 0.3)
+        if day.list_down_s:
+            await self._fleet.tell(do="list", name="down", for_s=day.list_down_s)
+        if day.saved == "none":
+            return
+        wall, mono = time.time_ns() // 1_000, time.monotonic_ns() // 1_000
+        word = wall - int(day.saved_age_s * 1e6)
+        entries = tuple(
+            saved.SavedWorker(worker, kind, "", 0, False, int(start * 1e3), word, word)
+            for worker, kind, start in zip(workers, kinds, starts, strict=True)
+        )
+        # Another run of the machine, so that the age is by the wall clock as after a restart of the machine.
+        kept = saved.SavedList(1, word, mono, "earlier", entries)
+        for number in range(day.gateways):
+            saved.write(self.folder / f"state-{number}" / "list", kept)
+        lines = [f'worker "{worker}" kind="{kind}"' for worker, kind in zip(workers, kinds, strict=True)]
+        (self.folder / "workers.kdl").write_text("\n".join(lines) + "\n")
+
     async def _gateway(self, number: int) -> Program:
         state = self.folder / f"state-{number}"
         text = days.site(
-            self.day, number, state, self._ports[number], self._servers, self._broker_at, self.health[number]
+            self.day,
+            number,
+            state,
+            self._ports[number],
+            self._servers,
+            self._broker_at,
+            self.health[number],
+            str(self.folder / "workers.kdl") if self.day.saved == "blind" else "",
         )
         self._sites[number].write_text(text)
         program, told = await Program.start(
--- a/swiftwell/proof/verdict.py
+++ b/swiftwell/proof/verdict.py
@@ -17,6 +17,49 @@
     return ordered[max(0, math.ceil(part * len(ordered)) - 1)]
 
 
+FIRST_S = 30.0  # s after a gateway's start whose service is told apart
+
+
+def starting(events: list[Event]) -> dict[str, Any]:
+    """How gateways served just after their start: first answers, service of the first seconds, what went
+    wrong ways.
+
+    `correction_s`: from the list's first word to the last call that reached a worker which drains.
+    """
+    ready: dict[str, int] = {}
+    tries: dict[str, Event] = {}
+    served: dict[str, int] = {}
+    told = last_wrong = 0
+    reached = asked = 0
+    for event in events:
+        match event["ev"]:
+            case "ready":
+                ready.setdefault(event["gw"], event["t"])
+            case "try":
+                tries.setdefault(event["key"], event)
+            case "answer" if event["kind"] == "served":
+                served.setdefault(event["corr"].rpartition(".")[0], event["t"])
+            case "turned" if event["verdict"] == "draining" and event["call"]:
+                reached += 1
+                last_wrong = event["t"]
+            case "asked":
+                asked += 1
+            case "told":
+                told = told or event["t"]
+    start = max(ready.values(), default=0)
+    first = [one for one in tries.values() if one["t"] <= start + FIRST_S * 1e6]
+    in_time = sum(key in served and served[key] - one["t"] <= one["wanted"] for key, one in tries.items()
+                  if one["t"] <= start + FIRST_S * 1e6)  # fmt: skip
+    begun = min((one["t"] for one in tries.values()), default=0)
+    return {
+        "first_served_s": round((min(served.values(), default=0) - begun) / 1e6, 3) if served else None,
+        "first_30s_in_time": round(in_time / max(1, len(first)), 4),
+        "calls_at_drained": reached,
+        "questions": asked,
+        "correction_s": round(max(0, last_wrong - told) / 1e6, 3) if told else None,
+    }
+
+
 def verdict(day: str, seed: int, seconds: float, events: list[Event], found: Findings) -> dict[str, Any]:
     """What `day run --json` prints.
 
--- a/swiftwell/standins/fleet.py
+++ b/swiftwell/standins/fleet.py
@@ -58,6 +58,8 @@
             "workers": [worker.name for worker in self._workers],
             "lists": [f"127.0.0.1:{self._list.start()}"],
             "store": store,
+            "kinds": self._kinds,
+            "started_ms": [worker.started_ms for worker in self._workers],
         }
 
     def _changed(self, worker: Worker, state: str) -> None:
--- a/swiftwell/standins/worker.py
+++ b/swiftwell/standins/worker.py
@@ -20,6 +20,7 @@
 from swiftwell.standins.model import CalcServer, Done, Effect, Failed, Fell, Fetch, Machine, Stand, Work
 
 FOREVER_S = 3_600.0
+WARM_FOR_MS = 172_800_000.0  # ms that a server which is warm from the start has been up: two days
 
 
 def _now() -> int:
@@ -42,7 +43,7 @@
         self._work_us = work_us
         self._changed, self._keys = changed, keys
         self.model = CalcServer(machine, _now(), cold=not warm, keys=keys)
-        self.started_ms = 0.0 if warm else time.time() * 1e3
+        self.started_ms = time.time() * 1e3 - (WARM_FOR_MS if warm else 0)
         self._server: Server | None = None
         self.name, self._port = "", 0
         self._waiting: dict[Work, asyncio.Future[str]] = {}
