--- a/swiftwell/proof/verdict.py
+++ b/swiftwell/proof/verdict.py
@@ -39,7 +39,7 @@
                 tries.setdefault(event["key"], event)
             case "answer" if event["kind"] == "served":
                 served.setdefault(event["corr"].rpartition(".")[0], event["t"])
-            case "turned" if event["verdict"] == "draining" and event["call"]:
+            case "turned" if event["verdict"] == "draining" and event["call"] != "ask":
                 reached += 1
                 last_wrong = event["t"]
             case "asked":
@@ -54,7 +54,7 @@
     return {
         "first_served_s": round((min(served.values(), default=0) - begun) / 1e6, 3) if served else None,
         "first_30s_in_time": round(in_time / max(1, len(first)), 4),
-        "calls_at_drained": reached,
+        "work_at_drained": reached,
         "questions": asked,
         "correction_s": round(max(0, last_wrong - told) / 1e6, 3) if told else None,
     }
--- a/swiftwell/standins/worker.py
+++ b/swiftwell/standins/worker.py
@@ -240,7 +240,7 @@
             self.trace.note("asked", worker=self.name, gw=gateway)
             answer = _count(self.model.copies(function))
             if self.draining:
-                self.trace.note("turned", worker=self.name, gw=gateway, call="", verdict="draining")
+                self.trace.note("turned", worker=self.name, gw=gateway, call="ask", verdict="draining")
                 answer.headers["swiftwell-verdict"] = "draining"
             return answer
         if request.method == "DELETE":
@@ -248,7 +248,7 @@
             return _count(self.model.copies(function))
         self.trace.note("order", worker=self.name, gw=gateway, function=function)
         if self.draining:
-            self.trace.note("turned", worker=self.name, gw=gateway, call="", verdict="draining")
+            self.trace.note("turned", worker=self.name, gw=gateway, call="order", verdict="draining")
             return Response(503, {"swiftwell-verdict": "draining"})
         h = request.headers
         told, effects = self.model.hold(
