--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -233,7 +233,9 @@
     if sys.argv[1:2] == ["worker"]:
         asyncio.run(worker(sys.argv[2]))
     elif sys.argv[1:2] == ["gateway"]:
-        asyncio.run(gateway(sys.argv[2], sys.argv[3], sys.argv[4]))
+        import uvloop
+
+        uvloop.run(gateway(sys.argv[2], sys.argv[3], sys.argv[4]))
     else:
         parser = argparse.ArgumentParser()
         parser.add_argument("--seconds", type=float, default=8)
--- a/swiftwell/cli/main.py
+++ b/swiftwell/cli/main.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
 from pathlib import Path
 
 import click
 import msgspec
+import uvloop
 
 from swiftwell.cli.call import call
 from swiftwell.cli.day import day, demo
@@ -53,7 +53,7 @@
         await gateway.ended.wait()
         return 0
 
-    sys.exit(asyncio.run(run()))
+    sys.exit(uvloop.run(run()))
 
 
 @main.command()
