--- a/swiftwell/__init__.py
+++ b/swiftwell/__init__.py
@@ -1,1 +1,3 @@
-"""swiftwell: routing decisions for an invoker front end of a function platform."""
+"""A gateway that runs calls on workers which load functions or models on demand."""
+
+__version__ = "0.2.0"
--- a/swiftwell/cli/main.py
+++ b/swiftwell/cli/main.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
+import select
+import subprocess
 import sys
 from pathlib import Path
 
@@ -25,30 +29,43 @@
 
 @main.command()
 @click.argument("site", type=click.Path(path_type=Path))
-@click.option(
-    "--ready", is_flag=True, help="Say on standard output, in one JSON line, when it serves and where."
-)
-def serve(site: Path, ready: bool) -> None:
-    """Run the gateway that SITE describes, until SIGTERM or SIGINT."""
+@click.option("--ready", is_flag=True, help="Say on standard output, in one JSON line, where it serves.")
+@click.option("--take-over", is_flag=True, help="Take over from the gateway that runs on this state folder.")
+def serve(site: Path, ready: bool, take_over: bool) -> None:
+    """Run the gateway that SITE describes, until SIGTERM or SIGINT; SIGUSR2 starts its successor.
+
+    With --take-over the exit code is 3 where the running gateway carries on instead.
+    """
     from swiftwell.gateway.journal import JournalError
     from swiftwell.gateway.logs import Logs
     from swiftwell.gateway.shell import Gateway
+    from swiftwell.handover import new
+    from swiftwell.handover.channel import Broken
 
     settings = _load(site)
     logs = Logs(settings.log.format, settings.log.level, settings.log.per_kind)
 
     async def run() -> int:
         gateway = Gateway(settings, logs)
+        channel = new.connect(settings.state) if take_over else None
         try:
-            await gateway.start()
+            if channel:
+                new.receive(channel, gateway)
+                gateway.take_over()
+                channel.close()
+            else:
+                await gateway.start()
+        except Broken as error:
+            logs.write("error", "no-take-over", why=str(error))
+            return 3
         except (JournalError, OSError) as error:
             logs.write("error", "no-start", error=str(error))
             return 1
-        gateway.on_signals()
+        gateway.on_signals([sys.executable, "-m", "swiftwell", "serve", str(site), "--take-over"])
         told = {"name": settings.name, "listener": gateway.listener_port, "health": gateway.health_port}
         logs.write("info", "serving", **told)
         if ready:
-            click.echo(msgspec.json.encode(told).decode())
+            click.echo(msgspec.json.encode(told | {"pid": os.getpid()}).decode())
             sys.stdout.flush()
         await gateway.ended.wait()
         return 0
@@ -56,6 +73,42 @@
     sys.exit(uvloop.run(run()))
 
 
+@main.command()
+@click.argument("site", type=click.Path(path_type=Path))
+@click.option("--log", type=click.Path(path_type=Path), help="File that the new gateway's log is added to.")
+@click.option("--within", default=30.0, show_default=True, help="Seconds for the whole of it.")
+def upgrade(site: Path, log: Path | None, within: float) -> None:
+    """Start a new gateway for SITE that takes over from the running one, and follow it.
+
+    The exit code is 0 where the new one serves, 3 where the old one carries on, 2 where the settings are
+    wrong, 1 where no gateway runs.
+    """
+    settings = _load(site)
+    from swiftwell.handover import new
+
+    channel = new.connect(settings.state)
+    if channel is None:
+        click.echo(f"{settings.state}: no gateway runs there; use `swiftwell serve`", err=True)
+        sys.exit(1)
+    channel.close()
+    click.echo(f"{site}: settings are good; starting the new gateway")
+    words = [sys.executable, "-m", "swiftwell", "serve", str(site), "--take-over", "--ready"]
+    with open(log, "ab") if log else contextlib.nullcontext() as err:
+        process = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=err, start_new_session=True)
+    assert process.stdout
+    readable, _, _ = select.select([process.stdout], [], [], within)
+    line = process.stdout.readline() if readable else b""
+    if line:
+        told = msgspec.json.decode(line, type=dict)
+        click.echo(f"the new gateway serves: process {told['pid']}, listener {told['listener']}")
+        sys.exit(0)
+    if not readable:
+        process.kill()
+    code = process.wait()
+    click.echo(f"the new gateway ended ({code}); the old one carries on", err=True)
+    sys.exit(3)
+
+
 @main.command()
 @click.argument("site", type=click.Path(path_type=Path), required=False)
 @click.option("--fields", is_flag=True, help="List every setting with its unit, bounds and default.")
--- a/swiftwell/fronts/mqtt/codec.py
+++ b/swiftwell/fronts/mqtt/codec.py
@@ -573,6 +573,10 @@
         self._buffer = bytearray()
         self._fresh = version == 0
 
+    def greeted(self, connected: bool) -> None:
+        """Go on where another process was: whether the CONNECT has been seen."""
+        self._fresh = not connected
+
     def feed(self, data: bytes) -> Iterator[Packet]:
         """Take bytes; give the packets that are whole.  Raises ProtocolError, after which it is of no use."""
         buffer = self._buffer
--- a/swiftwell/fronts/mqtt/endpoint.py
+++ b/swiftwell/fronts/mqtt/endpoint.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -86,14 +87,19 @@
         self._host, self._contract, self._bounds, self._admit = host, contract, bounds, admit
         self.clients: dict[str, _Client] = {}
         self._connections: set[Connection] = set()
+        self._tasks: set[asyncio.Task] = set()
         self._server = _Server(self)
         self._sweep = PeriodicCallback(self.sweep, SWEEP_S * 1_000)
         self._numbers = 0
 
+    def begin(self) -> None:
+        """Look after keep-alives and sessions from now on."""
+        self._sweep.start()
+
     def listen(self, port: int, address: str) -> int:
         """Begin to listen; returns the port (a free one for 0)."""
         self._server.listen(port, address, backlog=1_024)
-        self._sweep.start()
+        self.begin()
         return next(iter(self._server._sockets.values())).getsockname()[1]
 
     def stop_listening(self) -> None:
@@ -121,8 +127,28 @@
             connection.abort("too many connections")
             self._host.log("warning", "connection-refused", connections=len(self._connections))
             return
+        await self._run(connection, [])
+
+    def new_client(self, client_id: str) -> _Client:
+        """A session for a client."""
+        bounds = self._bounds
+        session = Session(bounds.receive, bounds.answers)
+        client = _Client(self._host, self._contract, f"mqtt:{client_id}", client_id, session, bounds.open)
+        self.clients[client_id] = client
+        return client
+
+    def adopt(self, connection: Connection, client: _Client | None) -> None:
+        """Serve a connection that another process had; `client` where it has said who it is."""
+        connection.server = True
+        connection.decoder.greeted(connection.connected)
+        if client:
+            client.connection = connection
+        task = asyncio.ensure_future(self._run(connection, [client] if client else []))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, connection: Connection, client: list[_Client]) -> None:
         self._connections.add(connection)
-        client: list[_Client] = []
 
         def take(packet: Packet) -> None:
             if isinstance(packet, Connect):
@@ -169,9 +195,7 @@
             client = None
         present = client is not None
         if client is None:
-            session = Session(bounds.receive, bounds.answers)
-            client = _Client(self._host, self._contract, f"mqtt:{client_id}", client_id, session, bounds.open)
-            self.clients[client_id] = client
+            client = self.new_client(client_id)
         client.session.outbox.window = handshake_window(properties)
         connection.peer_most = properties.get("maximum_packet", 0)
         asked = properties.get("session_expiry", 0) if v5 else 0 if packet.clean else bounds.session_s
--- a/swiftwell/fronts/mqtt/peer.py
+++ b/swiftwell/fronts/mqtt/peer.py
@@ -117,6 +117,12 @@
         if self.host.effect(trigger.band) is not Effect.SAFE:
             self._ack(ref, Reason.OK)
 
+    def waits_again(self, ref: Ref) -> None:
+        """An open trigger that another process had taken."""
+        self.open += 1
+        if ref.correlation:
+            self._twins[ref.reply, ref.correlation] = ref
+
     def replied(self, trigger: Trigger, answer: Answer) -> None:
         """Carry the final answer back."""
         ref: Ref = trigger.ref  # type: ignore[assignment]
--- a/swiftwell/fronts/mqtt/subscriber.py
+++ b/swiftwell/fronts/mqtt/subscriber.py
@@ -64,6 +64,7 @@
         session = Session(link.receive, link.answers)
         self.peer = Peer(host, contract, f"broker:{link.name}", "", session, link.open, bool(link.share))
         self._closing = False
+        self._adopted: Connection | None = None
         self._subscribed = asyncio.Event()
         self.up = False
 
@@ -74,7 +75,11 @@
             address = self.link.addresses[turn % len(self.link.addresses)]
             turn += 1
             began = time.monotonic()
-            why = await self._once(address)
+            if self._adopted:
+                connection, self._adopted = self._adopted, None
+                why = await self._serve(connection)
+            else:
+                why = await self._once(address)
             if self._closing:
                 return
             self._backoff.ended(time.monotonic() - began)
@@ -85,6 +90,13 @@
                            again_in_s=round(wait, 2))  # fmt: skip
             await asyncio.sleep(wait)
 
+    def adopt(self, connection: Connection, up: bool) -> None:
+        """Go on with a connection that another process had; before `run`."""
+        self._adopted, self.up = connection, up
+        self.peer.connection = connection
+        if up:
+            self._subscribed.set()
+
     async def _once(self, address: tuple[str, int]) -> str:
         """One connection, from its opening to its end; why it ended."""
         link = self.link
@@ -97,6 +109,9 @@
         stream.set_nodelay(True)
         connection = Connection(stream, link.version, link.packet, link.waiting_out)
         connection.send([self._greeting()])
+        return await self._serve(connection)
+
+    async def _serve(self, connection: Connection) -> str:
         keeper = asyncio.create_task(self._keep(connection))
         try:
             await connection.run(lambda packet: self._packet(connection, packet), lambda: None)
--- a/swiftwell/gateway/effects.py
+++ b/swiftwell/gateway/effects.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import msgspec
@@ -192,6 +192,12 @@
                 ),
             )
 
+    def run_again(self, tenant: str, key: str, call: str) -> None:
+        """A key that was replayed is claimed by a call that runs on in this process."""
+        entry = self._entries.get((tenant, key))
+        if entry is not None:
+            self._put((tenant, key), replace(entry, call=call))
+
     def records(self) -> list[Record]:
         """What a new journal must hold so that nothing is forgotten."""
         return [self.record(tenant, key, entry) for (tenant, key), entry in self._entries.items()]
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -41,6 +41,7 @@
 
     trigger: Trigger
     timer: int = 0
+    until_us: int = 0  # when its own time ends, where that is before the call's; 0 where it is not
 
 
 @dataclass(slots=True, eq=False)
@@ -51,6 +52,7 @@
     out: bool = True
     ran: Ran = Ran.MAYBE
     timer: int = 0
+    until_us: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -116,7 +118,8 @@
         self._calls: dict[str, Call] = {}
         self._of: dict[str, dict[str, None]] = {}  # source: its calls
         self._awaiting: dict[int, Call] = {}  # number of a write: the call whose intent it is
-        self._orders: dict[int, tuple[str, str, int, int]] = {}  # number: worker, function, timer, sent
+        # Number: worker, function, timer, when it was sent, when it counts as unanswered.
+        self._orders: dict[int, tuple[str, str, int, int, int]] = {}
         self._numbers = self._writes = self._faults = 0
         self._books = 0  # numbers the module's books: timers of older ones mean nothing to newer ones
         self._rebuilding = self._stopping = False
@@ -294,8 +297,8 @@
         """A trigger waits for a call; its own time may end before the call's does."""
         waiter = Waiter(trigger)
         if self._now + left_us < call.deadline_us:
-            guard = self._now + left_us - GUARD_TICKS * self._told.tick_us
-            waiter.timer = self._wheel.add(guard, lambda: self._impatient(call, waiter))
+            waiter.until_us = self._now + left_us - GUARD_TICKS * self._told.tick_us
+            waiter.timer = self._wheel.add(waiter.until_us, lambda: self._impatient(call, waiter))
         call.waiters.append(waiter)
         self._of.setdefault(trigger.source, {})[call.id] = None
 
@@ -394,13 +397,13 @@
         for timer in (call.timer, attempt.timer, *(waiter.timer for waiter in call.waiters)):
             self._wheel.cancel(timer)
         number, call.streaming = first.number, True
-        end = self._now + STREAM_US
+        attempt.until_us = end = self._now + STREAM_US
         attempt.timer = self._wheel.add(end, lambda: self._abandon(call, number, Status.TIMEOUT))
         call.timer = self._wheel.add(end + STREAM_US, lambda: self._overdue(call))
         self._events.append(io.First(first.id, first.number, attempt.worker))
 
     def _order_ended(self, end: ports.OrderEnd) -> None:
-        worker, function, timer, sent = self._orders.pop(end.number, ("", "", 0, 0))
+        worker, function, timer, sent, _ = self._orders.pop(end.number, ("", "", 0, 0, 0))
         if not worker:
             return
         self._wheel.cancel(timer)
@@ -513,7 +516,7 @@
         self._books += 1
         self._log("error", "module-rebuilt", calls=len(self._calls))
         new = self.router = self._make(self._told, self._seed)
-        for _, _, timer, _ in self._orders.values():  # their answers would mean nothing to new books
+        for _, _, timer, _, _ in self._orders.values():  # their answers would mean nothing to new books
             self._wheel.cancel(timer)
         self._orders.clear()
         self._feed([io.Members(io.ListKind.FULL, tuple(self.list.entries()))])
@@ -560,7 +563,7 @@
             return
         number = len(call.attempts)
         until = min(act.until_us or call.deadline_us, call.deadline_us)
-        attempt = Attempt(act.worker)
+        attempt = Attempt(act.worker, until_us=until)
         attempt.timer = self._wheel.add(until, lambda: self._abandon(call, number, Status.TIMEOUT))
         call.attempts.append(attempt)
         self.counts["starts"] += 1
@@ -595,17 +598,51 @@
     def _load(self, act: io.Load) -> None:
         known = self.router.functions.get(act.function)
         self._numbers += 1
-        number, timer = self._numbers, 0
+        number, due = self._numbers, 0
         self.counts["orders"] += 1
         if self._told.order_timeout_us:
-            silent = ports.OrderEnd(number, Status.TIMEOUT, 0)
-            timer = self._wheel.add(
-                self._now + self._told.order_timeout_us, lambda: self._order_ended(silent)
-            )
-        self._orders[number] = (act.worker, act.function, timer, self._now)
+            due = self._now + self._told.order_timeout_us
+        self._ordered(number, act.worker, act.function, self._now, due)
         memory, lanes = (known.memory, known.lanes) if known else (0.0, 1)
         self._out.append(ports.Order(number, act.worker, act.function, act.copies, memory, lanes))
 
+    def _ordered(self, number: int, worker: str, function: str, sent: int, due: int) -> None:
+        timer = 0
+        if due:
+            silent = ports.OrderEnd(number, Status.TIMEOUT, 0)
+            timer = self._wheel.add(due, lambda: self._order_ended(silent))
+        self._orders[number] = (worker, function, timer, sent, due)
+
+    # Another process goes on with what this one did (handover/state.py).
+
+    @property
+    def awaiting(self) -> int:
+        """Intents that are not on disk yet."""
+        return len(self._awaiting)
+
+    def start_at(self, now_us: int, wall_us: int) -> None:
+        """The time at which calls are put in, before the first `step`."""
+        self._wheel, self._now, self._wall = Wheel(now_us), now_us, wall_us
+
+    def restore_timers(self, orders: Iterable[tuple[int, str, str, int, int]]) -> None:
+        """Set every timer that calls, orders and books put in want."""
+        wheel = self._wheel
+        for call in self._calls.values():
+            guard = call.deadline_us - GUARD_TICKS * self._told.tick_us
+            call.timer = wheel.add(guard, lambda call=call: self._overdue(call))
+            for waiter in call.waiters:
+                if waiter.until_us:
+                    waiter.timer = wheel.add(waiter.until_us, lambda c=call, w=waiter: self._impatient(c, w))
+            for number, attempt in enumerate(call.attempts):
+                if attempt.out:
+                    attempt.timer = wheel.add(
+                        attempt.until_us, lambda c=call, n=number: self._abandon(c, n, Status.TIMEOUT)
+                    )
+        for number, worker, function, sent, due in orders:
+            self._ordered(number, worker, function, sent, due)
+        for token, (_, _, due) in self.router._timers.items():
+            wheel.add(due, (self._books, token))
+
     # Answers.
 
     def _settle(self, call: Call, answer: Answer, waiters: list[Waiter] | None = None) -> None:
--- a/swiftwell/gateway/journal.py
+++ b/swiftwell/gateway/journal.py
@@ -170,6 +170,17 @@
             self._begin([])
         return records, damages
 
+    @property
+    def busy(self) -> bool:
+        """Something is not on disk yet."""
+        return self._busy or (bool(self._waiting) and not self.failed)
+
+    def adopt(self, lock: int, segment: int) -> None:
+        """Go on with a journal that another process had, by its lock; it writes no more.  Raises OSError."""
+        self._lock, self._segment = lock, segment
+        self._fd = os.open(self._folder / f"{segment:08d}.log", os.O_WRONLY | os.O_APPEND)
+        self._size = self._base = os.fstat(self._fd).st_size
+
     def _begin(self, records: list[Record]) -> None:
         """Begin a segment with what still holds, then drop the older ones: in that order, so a kill loses
         nothing."""
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -12,9 +12,11 @@
 import os
 import random
 import signal
+import subprocess
 import time
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import prometheus_client
@@ -28,6 +30,8 @@
 from swiftwell.fronts.mqtt.codec import V5, V311, Connect, Reason
 from swiftwell.fronts.mqtt.contract import Contract
 from swiftwell.fronts.mqtt.endpoint import Endpoint, EndpointBounds
+from swiftwell.fronts.mqtt.peer import Peer
+from swiftwell.fronts.mqtt.session import Session
 from swiftwell.fronts.mqtt.subscriber import BrokerLink, Subscriber
 from swiftwell.fronts.trigger import Trigger
 from swiftwell.gateway import ports
@@ -73,6 +77,10 @@
         self.keeper: Keeper | None = None
         self._service: sources.ListService | None = None
         self._lock = -1
+        self.frozen = False  # another process is being given what this one has
+        self.resting: list[IOStream] = []
+        self.adopted: Any = None
+        self._offer: Any = None
         self.journal: Journal | None = None
         self.endpoint: Endpoint | None = None
         self.subscribers: list[Subscriber] = []
@@ -115,12 +123,14 @@
     def put(self, given: ports.Input) -> None:
         """Something happened; the engine takes it in this turn of the loop."""
         self._inputs.append(given)
-        if not self._stepping:
+        if not self._stepping and not self.frozen:
             self._stepping = True
             self._loop.add_callback(self._step)
 
     def _step(self) -> None:
         self._stepping = False
+        if self.frozen:
+            return
         inputs, self._inputs = self._inputs, []
         for out in self.engine.step(self.clock.now_us(), self.clock.wall_us(), inputs):
             try:
@@ -150,6 +160,11 @@
         if not self._stepping:
             self._step()
 
+    def wake(self) -> None:
+        """Step after a rest."""
+        self._timer = None
+        self._step()
+
     def _carry(self, out: ports.Output) -> None:
         match out:
             case ports.Start():
@@ -178,24 +193,58 @@
 
     async def start(self) -> None:
         """Open everything; raises JournalError or OSError where something can't be."""
-        site = self.site
         self._lock_state()
-        if any(effect is not io.Effect.SAFE for effect in self._effects.values()):
+        if self._has_effects:
             self._open_ledger()
-        self._follow_list()
-        deadlines = site.deadlines_ms()
+        self.build_fronts()
+        if self.site.listener:
+            self.bind("mqtt")
+        if self.site.health:
+            self.bind("health")
+        self._go(fresh=True)
+        self.put(ports.Listed(io.Members(io.ListKind.DELTA, ())))  # the module sets its first timers
+
+    def take_over(self) -> None:
+        """Own what `handover.state.restore` has put in; raises OSError."""
+        from swiftwell.handover import state
+
+        if self._has_effects:
+            self.journal = self._journal()
+        state.activate(self)
+        if self.endpoint:
+            self.endpoint.begin()
+        self._go(fresh=False)
+        self.wake()
+
+    @property
+    def _has_effects(self) -> bool:
+        return any(effect is not io.Effect.SAFE for effect in self._effects.values())
+
+    def _go(self, fresh: bool) -> None:
+        """Follow the list, connect to brokers, sweep, and offer to hand over."""
+        from swiftwell.handover.old import Offer
+
+        self._follow_list(fresh)
+        for subscriber in self.subscribers:
+            self._tasks.append(asyncio.ensure_future(subscriber.run()))
+        self._sweeper.start()
+        self._offer = Offer(self)
+        self._tasks.append(asyncio.ensure_future(self._offer.run()))
+
+    def build_fronts(self) -> None:
+        """Fronts without their sockets."""
+        site = self.site
+        deadlines, alone = site.deadlines_ms(), site.gateways == 1
         if site.listener:
             at = site.listener
-            contract = Contract(site.topic, deadlines, site.hint, True, site.gateways == 1)
+            contract = Contract(site.topic, deadlines, site.hint, True, alone)
             bounds = EndpointBounds(
                 at.connections, at.sessions, at.receive_maximum, at.packet_bytes, at.waiting_bytes,
                 at.waiting_answers, at.open_calls, at.session_s, at.keep_alive_s,
             )  # fmt: skip
             self.endpoint = Endpoint(self, contract, bounds, self._admit)
-            self.listener_port = self.endpoint.listen(at.port, at.address)
-            self.log("info", "listening", address=f"{at.address}:{self.listener_port}")
         for broker in site.brokers:
-            contract = Contract(site.topic, deadlines, site.hint, False, site.gateways == 1)
+            contract = Contract(site.topic, deadlines, site.hint, False, alone)
             link = BrokerLink(
                 broker.name, tuple(map(host_port, broker.address)), broker.client_id or site.name,
                 (f"{site.topic}/#",), broker.share, V5 if broker.version == "5.0" else V311,
@@ -203,14 +252,33 @@
                 broker.receive_maximum, broker.packet_bytes, answers=broker.waiting_answers,
                 open=broker.open_calls,
             )  # fmt: skip
-            subscriber = Subscriber(self, contract, link, self._chance)
-            self.subscribers.append(subscriber)
-            self._tasks.append(asyncio.ensure_future(subscriber.run()))
+            self.subscribers.append(Subscriber(self, contract, link, self._chance))
         if site.health:
             self._health = Server(self._answer)
-            self.health_port = self._health.start_on(site.health.port, site.health.address)
-        self._sweeper.start()
-        self.put(ports.Listed(io.Members(io.ListKind.DELTA, ())))  # the module sets its first timers
+
+    def bind(self, name: str) -> None:
+        """Open a listening socket; raises OSError."""
+        if name == "mqtt" and self.endpoint and self.site.listener:
+            at = self.site.listener
+            self.listener_port = self.endpoint.listen(at.port, at.address)
+            self.log("info", "listening", address=f"{at.address}:{self.listener_port}")
+        elif name == "health" and self._health and self.site.health:
+            self.health_port = self._health.start_on(self.site.health.port, self.site.health.address)
+
+    def wants_listener(self, name: str, address: str, port: int) -> bool:
+        """Whether a listening socket of another process is the one that these settings name."""
+        at = self.site.listener if name == "mqtt" else self.site.health
+        same = at is not None and at.address == address and at.port in (0, port)
+        if same and name == "mqtt":
+            self.listener_port = port
+        elif same:
+            self.health_port = port
+        return same
+
+    def nobody(self) -> Peer:
+        """A peer for answers that can't go anywhere any more."""
+        contract = Contract(self.site.topic, {}, self.site.hint, True, True)
+        return Peer(self, contract, "nobody:", "", Session(1, 0), 1 << 30)
 
     def _lock_state(self) -> None:
         """One process for each state folder: two would write over each other's ledger and list."""
@@ -224,14 +292,7 @@
 
     def _open_ledger(self) -> None:
         site = self.site
-        folder = Path(site.state) / site.ledger.folder
-        self.journal = Journal(
-            folder,
-            lambda act: self._loop.add_callback(act),
-            lambda number: self.put(ports.Durable(number)),
-            lambda why: self.put(ports.LedgerDown(why)),
-            self.ledger.records,
-        )
+        self.journal = self._journal()
         records, damages = self.journal.open()
         for record in records:
             self.ledger.replay(record)
@@ -241,9 +302,24 @@
                 self.ledger.holes_until, damage.until_us + site.ledger.keep_s * 1_000_000
             )
             self.log("error", "ledger-damaged", file=damage.file, offset=damage.offset, bytes=damage.length)
-        self.log("info", "ledger", folder=str(folder), keys=len(self.ledger), records=len(records))
+        self.log(
+            "info", "ledger", folder=str(self._ledger_folder), keys=len(self.ledger), records=len(records)
+        )
+
+    @property
+    def _ledger_folder(self) -> Path:
+        return Path(self.site.state) / self.site.ledger.folder
 
-    def _follow_list(self) -> None:
+    def _journal(self) -> Journal:
+        return Journal(
+            self._ledger_folder,
+            lambda act: self._loop.add_callback(act),
+            lambda number: self.put(ports.Durable(number)),
+            lambda why: self.put(ports.LedgerDown(why)),
+            self.ledger.records,
+        )
+
+    def _follow_list(self, fresh: bool) -> None:
         workers = self.site.workers
         told = lambda members: self.put(ports.Listed(members))  # noqa: E731
         if workers.list:
@@ -263,7 +339,7 @@
             if workers.list.save:
                 folder = Path(self.site.state) / "list"
                 self.keeper = Keeper(folder, self.clock, self.engine.list, self.log, self._loop.add_callback)
-                if entries := self.keeper.load():
+                if fresh and (entries := self.keeper.load()):
                     told_saved(entries)
             self._tasks.append(asyncio.ensure_future(self._service.run()))
         elif workers.file:
@@ -341,6 +417,8 @@
         """Take nothing new, let calls in flight end, answer what is left, close."""
         if self._stopping:
             return
+        while self.frozen:  # a handover is at its last step: it ends within its limit, one way or the other
+            await asyncio.sleep(0.01)
         self._stopping = True
         self.log("info", "stopping", calls=self.engine.open)
         if self.endpoint:
@@ -364,13 +442,21 @@
             self.journal.close()
         if self.keeper:
             self.keeper.close()
+        if self._offer:
+            self._offer.close()
         if self._lock >= 0:
             os.close(self._lock)
         self.log("info", "stopped")
         self.ended.set()
 
-    def on_signals(self) -> None:
-        """End at SIGTERM and SIGINT."""
+    def on_signals(self, successor: list[str] | None = None) -> None:
+        """End at SIGTERM and SIGINT; at SIGUSR2 start a successor with these words, which takes over."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, lambda: asyncio.ensure_future(self.stop()))
+        if successor:
+            loop.add_signal_handler(signal.SIGUSR2, self._succeed, successor)
+
+    def _succeed(self, words: list[str]) -> None:
+        self.log("info", "successor", words=" ".join(words))
+        subprocess.Popen(words, start_new_session=True, stdin=subprocess.DEVNULL)
--- /dev/null
+++ b/swiftwell/handover/old.py
@@ -0,0 +1,153 @@
+"""The old process's side: it offers a socket in its state folder, and gives everything to a new process that
+asks.
+
+The commit point is the new process's `owned`, sent before it does anything at all.  Until that message has
+arrived the old process carries on as if nothing had been, whatever becomes of the new one; once it has, the
+old one does nothing more but end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from swiftwell import __version__
+from swiftwell.handover import state
+from swiftwell.handover.channel import Broken, Channel
+
+if TYPE_CHECKING:
+    from swiftwell.gateway.shell import Gateway
+
+PROTOCOL, LEAST = 1, 1  # spoken, and the oldest that is still spoken with
+HELLO_S = 2.0  # s for the new process to say who it is
+PREPARE_S = 20.0  # s for it to read its settings and get ready; calls go on meanwhile
+REST_S = 0.5  # s for this process to come to rest: the ledger's disk may be slow
+FROZEN_S = 1.0  # s that each step may take while nobody is served; beyond it the old process carries on
+
+
+def socket_path(state_folder: str) -> Path:
+    """Where a gateway listens for its successor."""
+    return Path(state_folder) / "handover.sock"
+
+
+class Offer:
+    """Listens for successors, one at a time.  `busy` while one is served."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+        self._path = socket_path(gateway.site.state)
+        self._sock: socket.socket | None = None
+        self._busy = False
+        self._tasks: set[asyncio.Task] = set()
+        self.done = 0
+
+    async def run(self) -> None:
+        """Serve until the process ends."""
+        gateway = self._gateway
+        try:
+            self._path.unlink(missing_ok=True)
+            self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+            self._sock.bind(str(self._path))
+            os.chmod(self._path, 0o600)
+            self._sock.listen(4)
+            self._sock.setblocking(False)
+        except OSError as error:  # a path too long, a folder of another kind: upgrades need a restart then
+            gateway.log("warning", "no-handover", why=f"{self._path}: {error.strerror or error}")
+            return
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self._sock)
+            task = asyncio.ensure_future(self._serve(Channel(sock)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, channel: Channel) -> None:
+        log = self._gateway.log
+        pid, uid = channel.peer
+        try:
+            if uid not in (os.geteuid(), 0):
+                raise Broken(f"user {uid} may not take over")
+            if self._busy or self._gateway.frozen or self._gateway._stopping:
+                channel.send("no", HELLO_S, why="another handover is under way, or the gateway is stopping")
+                return
+            self._busy = True
+            try:
+                await self._hand_over(channel, pid)
+            finally:
+                self._busy = False
+        except Broken as error:
+            log("warning", "handover-failed", why=str(error), pid=pid)
+            with contextlib.suppress(Broken):
+                channel.send("no", 0.1, why=str(error))
+        finally:
+            channel.close()
+
+    async def _hand_over(self, channel: Channel, pid: int) -> None:
+        gateway = self._gateway
+        hello = await asyncio.to_thread(channel.receive, HELLO_S, "hello")
+        _agree(hello, gateway.site.name)
+        gateway.log("info", "handover", step="hello", pid=pid, version=hello.get("version"))
+        channel.send("offer", HELLO_S, protocol=PROTOCOL, version=__version__, state=state.VERSION)
+        await asyncio.to_thread(channel.receive, PREPARE_S, "prepared")
+        began = time.monotonic()
+        try:
+            await state.freeze(gateway, REST_S)
+        except TimeoutError as error:
+            state.thaw(gateway)
+            raise Broken(str(error)) from None
+        except BaseException:
+            state.thaw(gateway)
+            raise
+        owned = False
+        try:
+            owned = await asyncio.to_thread(self._give, channel)
+        except Broken as error:
+            owned = channel.last_word()
+            if not owned:
+                raise Broken(f"{error}; carrying on") from None
+        finally:
+            if not owned:
+                state.thaw(gateway)
+        pause = time.monotonic() - began
+        self._end(pid, pause)
+
+    def _give(self, channel: Channel) -> bool:
+        """From here nobody is served until it is over.  In a thread, as the channel waits."""
+        told, fds = state.take(self._gateway)
+        raw = state.encode(told)
+        channel.send("state", FROZEN_S, state=raw, fds=len(fds))
+        channel.send_fds(fds, FROZEN_S)
+        channel.receive(FROZEN_S, "restored")
+        channel.send("commit", FROZEN_S)
+        channel.receive(FROZEN_S, "owned")
+        return True
+
+    def _end(self, pid: int, pause: float) -> None:
+        """Everything belongs to the new process: end without a word to anybody."""
+        gateway = self._gateway
+        gateway.log("info", "handed-over", pid=pid, pause_ms=round(pause * 1e3, 1))
+        os._exit(0)
+
+    def close(self) -> None:
+        """Offer nothing more."""
+        if self._sock:
+            self._sock.close()
+            self._path.unlink(missing_ok=True)
+
+
+def _agree(hello: dict, name: str) -> None:
+    """Raise Broken unless both sides can speak and mean the same gateway."""
+    protocol, least = hello.get("protocol"), hello.get("least")
+    if not isinstance(protocol, int) or not isinstance(least, int) or protocol < least:
+        raise Broken(f"a hello without a protocol that makes sense: {protocol!r}, {least!r}")
+    if protocol < LEAST:
+        raise Broken(f"it speaks protocol {protocol}, too old: {LEAST} to {PROTOCOL} are spoken here")
+    if least > PROTOCOL:
+        raise Broken(f"it needs protocol {least}, too new: {LEAST} to {PROTOCOL} are spoken here")
+    if hello.get("name") != name:
+        raise Broken(f"it is {hello.get('name')!r}, this is {name!r}")
--- /dev/null
+++ b/swiftwell/handover/state.py
@@ -0,0 +1,567 @@
+"""Everything of a running gateway as one versioned state with its descriptors: taken, given to another
+process, or put back.
+
+`freeze` stops reading and sending, so that nothing changes any more; `thaw` goes on as if nothing had been;
+`restore` builds the same in a gateway that has not started; `activate` lets that one go.  Times are
+monotonic us, one clock for all processes of a machine; the wall clock's anchor is carried, so that both
+processes tell the same wall time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import time
+from collections import OrderedDict, deque
+from dataclasses import fields
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream
+
+from swiftwell import interface as io
+from swiftwell.discovery.roster import Known
+from swiftwell.fronts.mqtt.codec import Publish, Will
+from swiftwell.fronts.mqtt.connection import Connection
+from swiftwell.fronts.mqtt.contract import Ref
+from swiftwell.fronts.mqtt.peer import Peer
+from swiftwell.fronts.mqtt.session import Session
+from swiftwell.fronts.trigger import Ran, Trigger
+from swiftwell.gateway.effects import Record
+from swiftwell.gateway.engine import Attempt, Call, Waiter
+from swiftwell.handover import snapshot
+from swiftwell.interface import State as WorkerState
+from swiftwell.workers.link import _Connection as WorkerConnection
+from swiftwell.workers.link import _Job, _Worker
+
+if TYPE_CHECKING:
+    from swiftwell.gateway.shell import Gateway
+
+VERSION = 1  # of the state; a reader takes any version, by the defaults below
+_TRIGGER = [one.name for one in fields(Trigger) if one.name != "ref"]
+
+
+class RefState(msgspec.Struct):
+    """Where an answer goes: its peer by kind ("client", "broker", "") and name."""
+
+    kind: str
+    name: str
+    generation: int
+    version: int
+    id: int
+    qos: int
+    reply: str
+    correlation: Any = None
+    key: str = ""
+    acked: bool = False
+    also: list[RefState] = []
+
+
+class TriggerState(msgspec.Struct):
+    """A trigger; `values` by the names of its fields."""
+
+    values: dict[str, Any]
+    ref: RefState
+
+
+class CallState(msgspec.Struct):
+    """A call of the engine."""
+
+    id: str
+    trigger: TriggerState
+    band: dict[str, Any]
+    deadline_us: int
+    claimed: bool = False
+    waiters: list[tuple[TriggerState, int]] = []
+    attempts: list[tuple[str, bool, str, int]] = []  # worker, out, ran, until
+    settled: bool = False
+    streaming: bool = False
+    doubted: bool = False
+    orphan: bool = False
+    blames: int = 0
+
+
+class SessionState(msgspec.Struct):
+    """A session's two directions."""
+
+    open: dict[int, int] = {}
+    received: list[int] = []
+    window: int = 65_535
+    waiting: list[Publish] = []
+    flight: list[tuple[int, Publish | None]] = []
+    next: int = 0
+    filters: dict[str, int] = {}
+
+
+class ConnectionState(msgspec.Struct):
+    """A connection: its descriptor's place in the list, and what it had half read and half sent."""
+
+    fd: int
+    version: int
+    pending: bytes = b""
+    unsent: bytes = b""
+    connected: bool = False
+    peer_most: int = 0
+    heard: float = 0.0
+    spoke: float = 0.0
+
+
+class PeerState(msgspec.Struct):
+    """A client of the endpoint (or a connection that has not said who it is, name ""), or a broker."""
+
+    kind: str
+    name: str
+    session: SessionState = msgspec.field(default_factory=SessionState)
+    generation: int = 0
+    connection: ConnectionState | None = None
+    expiry: float = 0.0
+    until: float = 0.0
+    keep_alive: float = 0.0
+    will_at: float = 0.0
+    will: Will | None = None
+    up: bool = False
+
+
+class JobState(msgspec.Struct):
+    """An attempt or order on its way: "run" with (call, number), "order" with its number, "ask" with its
+    worker."""
+
+    kind: str
+    worker: str
+    id: str = ""
+    number: int = 0
+    fd: int = -1  # none: it was waiting for a connection, and is begun anew
+    data: bytes = b""
+    unsent: bytes = b""
+    raw: bytes = b""  # what of its answer has come
+    began: float = 0.0
+    until: float = 0.0  # of orders and questions, monotonic s
+    streamed: bool = False
+
+
+class ListenerState(msgspec.Struct):
+    """A listening socket."""
+
+    name: str
+    address: str
+    port: int
+    fd: int
+
+
+class RosterState(msgspec.Struct):
+    """What is known of workers, beside what the module knows."""
+
+    known: list[dict[str, Any]] = []
+    live: bool = False
+    size_since: int = 0
+
+
+class GatewayState(msgspec.Struct):
+    """All of it."""
+
+    version: int = VERSION
+    name: str = ""
+    anchor_us: int = 0
+    calls: list[CallState] = []
+    ledger: list[Record] = []
+    running: list[tuple[str, str, str]] = []  # tenant, key, call
+    holes_until: int = 0
+    shut_why: str = ""
+    segment: int = 0
+    numbers: int = 0
+    writes: int = 0
+    counts: dict[str, int] = {}
+    orders: list[tuple[int, str, str, int, int]] = []  # number, worker, function, sent, due
+    peers: list[PeerState] = []
+    jobs: list[JobState] = []
+    listeners: list[ListenerState] = []
+    roster: RosterState = msgspec.field(default_factory=RosterState)
+    router: snapshot.RouterBooks = msgspec.field(default_factory=snapshot.RouterBooks)
+    lock: int = -1
+    ledger_lock: int = -1
+
+
+def encode(state: GatewayState) -> bytes:
+    """The state as bytes."""
+    return msgspec.msgpack.encode(state)
+
+
+def decode(raw: bytes) -> GatewayState:
+    """And back; raises msgspec.DecodeError or msgspec.ValidationError."""
+    return msgspec.msgpack.decode(raw, type=GatewayState)
+
+
+# Streams at rest.
+
+
+def _rest(stream: IOStream) -> None:
+    """Read and send nothing more on a stream; what the kernel has stays there."""
+    if not stream.closed() and stream._state is not None:
+        IOLoop.current().remove_handler(stream.fileno())
+
+
+def _wake(stream: IOStream) -> None:
+    if not stream.closed() and stream._state is not None:
+        IOLoop.current().add_handler(stream.fileno(), stream._handle_events, stream._state)
+
+
+def _unsent(stream: IOStream) -> bytes:
+    """What a stream has taken and not handed to the kernel, left where it is."""
+    buffer = stream._write_buffer
+    out, skip = [], buffer._first_pos
+    for _, part in buffer._buffers:
+        out.append(bytes(part[skip:]))
+        skip = 0
+    return b"".join(out)
+
+
+def _servers(gateway: Gateway) -> list[tuple[str, Any]]:
+    found = []
+    if gateway.endpoint:
+        found.append(("mqtt", gateway.endpoint._server))
+    if gateway._health:
+        found.append(("health", gateway._health))
+    return found
+
+
+def _streams(gateway: Gateway) -> list[IOStream]:
+    out = []
+    if gateway.endpoint:
+        out += [connection.stream for connection in gateway.endpoint._connections]
+    out += [s.peer.connection.stream for s in gateway.subscribers if s.peer.connection]
+    for worker in gateway.link._workers.values():
+        out += [connection.stream for connection in worker.idle]
+    out += [job.connection.stream for job in gateway.link.all_jobs() if job.connection]
+    return out
+
+
+async def freeze(gateway: Gateway, within_s: float) -> None:
+    """Come to rest: nothing is accepted, read or sent, the ledger is on disk, every input has been taken.
+
+    Raises TimeoutError, after which `thaw` goes on.
+    """
+    for _, server in _servers(gateway):
+        for fd in list(server._handlers):
+            server._handlers.pop(fd)()
+    gateway.resting = _streams(gateway)
+    for stream in gateway.resting:
+        _rest(stream)
+    gateway.link.hold(True)
+    until = time.monotonic() + within_s
+    # What had been read already runs through; the ledger catches up.
+    while True:
+        for _ in range(3):
+            await asyncio.sleep(0)
+        idle = not gateway._inputs and not gateway._stepping and not gateway.engine.awaiting
+        if idle and not (gateway.journal and gateway.journal.busy):
+            break
+        if time.monotonic() > until:
+            raise TimeoutError("the ledger did not come to rest")
+        await asyncio.sleep(0.001)
+    gateway.frozen = True
+
+
+def thaw(gateway: Gateway) -> None:
+    """Go on as if nothing had been."""
+    gateway.frozen = False
+    for stream in gateway.resting:
+        _wake(stream)
+    gateway.resting = []
+    for _, server in _servers(gateway):
+        server.add_sockets(list(server._sockets.values()))
+    gateway.link.hold(False)
+    gateway.wake()
+
+
+# Taking.
+
+
+def take(gateway: Gateway) -> tuple[GatewayState, list[int]]:
+    """The state of a frozen gateway and the descriptors that go with it."""
+    fds: list[int] = []
+
+    def add(fd: int) -> int:
+        fds.append(fd)
+        return len(fds) - 1
+
+    engine, ledger = gateway.engine, gateway.ledger
+    state = GatewayState(name=gateway.site.name, anchor_us=gateway.clock._anchor_us)
+    for name, server in _servers(gateway):
+        for fd, sock in server._sockets.items():
+            address, port = sock.getsockname()[:2]
+            state.listeners.append(ListenerState(name, address, port, add(fd)))
+    state.calls = [_call_out(gateway, call) for call in engine._calls.values()]
+    state.ledger = ledger.records()
+    state.running = [(t, k, e.call) for (t, k), e in ledger._entries.items() if e.call]
+    state.holes_until, state.shut_why = ledger.holes_until, ledger.shut_why
+    state.numbers, state.writes, state.counts = engine._numbers, engine._writes, dict(engine.counts)
+    state.orders = [(n, *order[:2], order[3], order[4]) for n, order in engine._orders.items()]
+    if gateway.endpoint:
+        for client in gateway.endpoint.clients.values():
+            one = PeerState("client", client.client, _session_out(client.session), client.generation)
+            one.connection = _connection_out(client.connection, add)
+            one.expiry, one.until, one.keep_alive = client.expiry, client.until, client.keep_alive
+            one.will, one.will_at = client.will, client.will_at
+            state.peers.append(one)
+        known = {client.connection for client in gateway.endpoint.clients.values()}
+        for connection in gateway.endpoint._connections - known:  # who has not said who it is
+            if not connection.closed:
+                state.peers.append(PeerState("client", "", connection=_connection_out(connection, add)))
+    for s in gateway.subscribers:
+        one = PeerState("broker", s.link.name, _session_out(s.peer.session), s.peer.generation, up=s.up)
+        one.connection = _connection_out(s.peer.connection, add)
+        state.peers.append(one)
+    for key, job in gateway.link._jobs.items():
+        state.jobs.append(_job_out(job, add, "run", id=key[0], number=key[1]))
+    for job, (kind, number) in gateway.link.others.items():
+        state.jobs.append(_job_out(job, add, kind, number=number))
+    for known in engine.list.known.values():
+        values = {one.name: getattr(known, one.name) for one in fields(Known) if one.name != "entry"}
+        entry = {one.name: getattr(known.entry, one.name) for one in fields(io.WorkerEntry)}
+        state.roster.known.append(values | {"entry": entry | {"state": known.entry.state.value}})
+    state.roster.live, state.roster.size_since = engine.list.live, engine.list.size_since
+    state.router = snapshot.take(engine.router)
+    if gateway._lock >= 0:
+        state.lock = add(gateway._lock)
+    if gateway.journal:
+        state.ledger_lock, state.segment = add(gateway.journal._lock), gateway.journal._segment
+    return state, fds
+
+
+def _peer_key(peer: Peer) -> tuple[str, str]:
+    kind, _, name = peer.source.partition(":")
+    return ({"mqtt": "client", "broker": "broker"}.get(kind, ""), name)
+
+
+def _ref_out(ref: Ref) -> RefState:
+    peer, generation = ref.connection
+    also = [_ref_out(one) for one in ref.also]
+    return RefState(
+        *_peer_key(peer),
+        generation,
+        ref.version,
+        ref.id,
+        ref.qos,
+        ref.reply,
+        ref.correlation,
+        ref.key,
+        ref.acked,
+        also,
+    )
+
+
+def _trigger_out(trigger: Trigger) -> TriggerState:
+    return TriggerState({name: getattr(trigger, name) for name in _TRIGGER}, _ref_out(trigger.ref))  # type: ignore[arg-type]
+
+
+def _call_out(gateway: Gateway, call: Call) -> CallState:
+    return CallState(
+        call.id,
+        _trigger_out(call.trigger),
+        snapshot.band_out(call.band),
+        call.deadline_us,
+        call.claimed,
+        [(_trigger_out(w.trigger), w.until_us) for w in call.waiters],
+        [(a.worker, a.out, a.ran.value, a.until_us) for a in call.attempts],
+        call.settled,
+        call.streaming,
+        call.doubted,
+        call.orphan,
+        call.blames,
+    )
+
+
+def _session_out(session: Session) -> SessionState:
+    box, out = session.inbox, session.outbox
+    return SessionState(
+        dict(box._open),
+        sorted(box._received),
+        out.window,
+        list(out._waiting),
+        list(out._flight.items()),
+        out._next,
+        dict(session.filters),
+    )
+
+
+def _connection_out(connection: Connection | None, add: Any) -> ConnectionState | None:
+    if connection is None or connection.closed or connection.stream.closed():
+        return None
+    return ConnectionState(
+        add(connection.stream.socket.fileno()),
+        connection.version,
+        bytes(connection.decoder._buffer),
+        _unsent(connection.stream),
+        connection.connected,
+        connection.peer_most,
+        connection.heard,
+        connection.spoke,
+    )
+
+
+def _job_out(job: _Job, add: Any, kind: str, **more: Any) -> JobState:
+    out = JobState(kind, job.worker, data=job.data, began=job.began, until=job.until, **more)
+    out.streamed = job.first is not None
+    connection = job.connection
+    if connection and job.written and not connection.stream.closed():
+        out.fd, out.unsent, out.raw = (
+            add(connection.stream.socket.fileno()),
+            _unsent(connection.stream),
+            bytes(connection.raw),
+        )
+    return out
+
+
+# Putting back.
+
+
+def restore(gateway: Gateway, state: GatewayState, fds: list[int]) -> None:
+    """Build the state in a gateway that has not started; nothing is read, sent or written until `activate`.
+
+    Raises whatever is wrong; the descriptors are then the caller's to close.
+    """
+    gateway.clock._anchor_us = state.anchor_us
+    engine, ledger = gateway.engine, gateway.ledger
+    snapshot.put(engine.router, state.router)
+    engine.start_at(gateway.clock.now_us(), gateway.clock.wall_us())
+    for record in state.ledger:
+        ledger.replay(record)
+    for tenant, key, call in state.running:
+        ledger.run_again(tenant, key, call)
+    ledger.holes_until, ledger.shut_why = state.holes_until, state.shut_why
+    engine._numbers, engine._writes = state.numbers, state.writes
+    engine.counts.update(state.counts)
+    for known in state.roster.known:
+        raw = dict(known.pop("entry"))
+        entry = io.WorkerEntry(**raw | {"state": WorkerState(raw["state"])})
+        names = {one.name for one in fields(Known)}
+        engine.list.known[entry.worker] = Known(entry, **{k: v for k, v in known.items() if k in names})
+    engine.list.live, engine.list.size_since = state.roster.live, state.roster.size_since
+    gateway.build_fronts()
+    peers: dict[tuple[str, str], Peer] = {}
+    for one in state.peers:
+        _peer_in(gateway, one, fds, peers)
+    for call in state.calls:
+        _call_in(gateway, call, peers)
+    engine.restore_timers(state.orders)
+    gateway.adopted = (state, fds)
+
+
+def _peer_in(gateway: Gateway, one: PeerState, fds: list[int], peers: dict[tuple[str, str], Peer]) -> None:
+    peer: Peer | None = None
+    if one.kind == "client" and gateway.endpoint and one.name:
+        client = gateway.endpoint.new_client(one.name)
+        client.expiry, client.until, client.keep_alive = one.expiry, one.until, one.keep_alive
+        client.will, client.will_at = one.will, one.will_at
+        peer = client
+    elif one.kind == "broker":
+        peer = next((s.peer for s in gateway.subscribers if s.link.name == one.name), None)
+    if peer is None:
+        return  # its front is not part of the new settings: its connection ends with the old process
+    session = peer.session
+    session.inbox._open, session.inbox._received = dict(one.session.open), set(one.session.received)
+    box = session.outbox
+    box.window, box._waiting = one.session.window, deque(one.session.waiting)
+    box._flight, box._next = OrderedDict(one.session.flight), one.session.next
+    session.filters = dict(one.session.filters)
+    peer.generation = one.generation
+    peers[one.kind, one.name] = peer
+
+
+def _connection_in(one: ConnectionState, fds: list[int], most_packet: int, most_out: int) -> Connection:
+    sock = socket.socket(fileno=os.dup(fds[one.fd]))
+    sock.setblocking(False)
+    connection = Connection(IOStream(sock), one.version, most_packet, most_out)
+    connection.decoder._buffer = bytearray(one.pending)
+    connection.decoder.version, connection.connected, connection.peer_most = (
+        one.version,
+        one.connected,
+        one.peer_most,
+    )
+    connection.heard, connection.spoke = one.heard or connection.heard, one.spoke or connection.spoke
+    return connection
+
+
+def _ref_in(one: RefState, peers: dict[tuple[str, str], Peer], gateway: Gateway) -> Ref:
+    peer = peers.get((one.kind, one.name)) or gateway.nobody()
+    ref = Ref(
+        one.version, (peer, one.generation), one.id, one.qos, one.reply, one.correlation, one.key, one.acked
+    )
+    ref.also = [_ref_in(also, peers, gateway) for also in one.also]
+    return ref
+
+
+def _trigger_in(one: TriggerState, peers: dict[tuple[str, str], Peer], gateway: Gateway) -> Trigger:
+    known = {name: one.values[name] for name in _TRIGGER if name in one.values}
+    return Trigger(ref=_ref_in(one.ref, peers, gateway), **known)
+
+
+def _call_in(gateway: Gateway, one: CallState, peers: dict[tuple[str, str], Peer]) -> None:
+    engine = gateway.engine
+    band = engine._bands.get(one.trigger.values["band"]) or snapshot.band_in(one.band)
+    call = Call(one.id, _trigger_in(one.trigger, peers, gateway), band, one.deadline_us, one.claimed)
+    call.attempts = [Attempt(worker, out, Ran(ran), 0, until) for worker, out, ran, until in one.attempts]
+    call.settled, call.streaming, call.doubted = one.settled, one.streaming, one.doubted
+    call.orphan, call.blames = one.orphan, one.blames
+    for told, until in one.waiters:
+        trigger = _trigger_in(told, peers, gateway)
+        call.waiters.append(Waiter(trigger, 0, until))
+        engine._of.setdefault(trigger.source, {})[call.id] = None
+        peer: Peer = trigger.ref.connection[0]  # type: ignore[attr-defined]
+        peer.waits_again(trigger.ref)  # type: ignore[arg-type]
+    engine._calls[call.id] = call
+
+
+def activate(gateway: Gateway) -> None:
+    """This process owns everything now: read, send, write."""
+    state, fds = gateway.adopted
+    gateway.adopted = None
+    names = {listener.name: listener for listener in state.listeners}
+    for name, server in _servers(gateway):
+        listener = names.get(name)
+        if listener and gateway.wants_listener(name, listener.address, listener.port):
+            sock = socket.socket(fileno=os.dup(fds[listener.fd]))
+            sock.setblocking(False)
+            server.add_sockets([sock])
+        else:
+            gateway.bind(name)
+    if state.lock >= 0:
+        gateway._lock = os.dup(fds[state.lock])
+    if gateway.journal and state.ledger_lock >= 0:
+        gateway.journal.adopt(os.dup(fds[state.ledger_lock]), state.segment)
+    bounds = gateway.site.listener
+    for one in state.peers:
+        if one.connection is None:
+            continue
+        if one.kind == "client" and gateway.endpoint and bounds:
+            connection = _connection_in(one.connection, fds, bounds.packet_bytes, bounds.waiting_bytes)
+            gateway.endpoint.adopt(connection, gateway.endpoint.clients.get(one.name))
+            if one.connection.unsent:
+                connection.stream.write(one.connection.unsent)
+        for s in gateway.subscribers:
+            if one.kind == "broker" and s.link.name == one.name:
+                connection = _connection_in(one.connection, fds, s.link.packet, s.link.waiting_out)
+                s.adopt(connection, one.up)
+                if one.connection.unsent:
+                    connection.stream.write(one.connection.unsent)
+    for job in state.jobs:
+        _job_in(gateway, job, fds)
+    for fd in fds:
+        os.close(fd)
+
+
+def _job_in(gateway: Gateway, one: JobState, fds: list[int]) -> None:
+    link = gateway.link
+    job = link.job_again(
+        one.kind, one.worker, one.id, one.number, one.data, one.began, one.until, one.streamed
+    )
+    if one.fd < 0:
+        link._begin(job)
+        return
+    sock = socket.socket(fileno=os.dup(fds[one.fd]))
+    sock.setblocking(False)
+    connection = WorkerConnection(link, one.worker, IOStream(sock), link._bounds.answer)
+    link._workers.setdefault(one.worker, _Worker()).open += 1
+    link.carry_on(job, connection, one.unsent, one.raw)
--- a/swiftwell/workers/link.py
+++ b/swiftwell/workers/link.py
@@ -51,6 +51,7 @@
     written: bool = False
     over: bool = False
     timer: object = None
+    until: float = 0.0  # of orders and questions: when they count as unanswered, monotonic s
 
 
 @dataclass(slots=True)
@@ -77,6 +78,7 @@
         self.parser = Parser(True, most)
         self.job: _Job | None = None
         self.since = 0.0
+        self.raw = bytearray()  # what of the job's answer has come, for a process that goes on with it
 
     async def read(self) -> None:
         """Read answers until the connection ends; always reading, so that a peer's closing is seen at
@@ -89,6 +91,7 @@
                 if job is None:  # a worker that answers twice
                     why = "bytes that nobody asked for"
                     break
+                self.raw += data
                 for message in self.parser.feed(data):
                     if isinstance(message, Begun):
                         if job.first and not job.over:
@@ -133,27 +136,34 @@
         self._started = started  # a worker's wall-clock start as monotonic us
         self._workers: dict[str, _Worker] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
+        self.others: dict[_Job, tuple[str, int]] = {}  # orders and questions: kind, number
+        self._held = False
+        self._waiting: list[_Job] = []
         self._client = TCPClient()
         self._tasks: set[asyncio.Task] = set()
         self._loop = IOLoop.current()
 
     def start(self, act: ports.Start) -> None:
         """Begin an attempt."""
-        key = (act.id, act.number)
         request = protocol.run(self._gateway, act.worker, act.id, act.number, act.left_us, act.trigger)
+        job = self._run_job(act.worker, act.id, act.number, encode(request), time.monotonic(), act.streamed)
+        self._begin(job)
+
+    def _run_job(self, worker: str, id_: str, number: int, data: bytes, began: float, streamed: bool) -> _Job:
+        key = (id_, number)
 
         def ended(end: _End) -> None:
             self._jobs.pop(key, None)
-            latency = int((time.monotonic() - job.began) * 1e6)
+            latency = int((time.monotonic() - began) * 1e6)
             if end.response is None:
                 told = ports.AttemptEnd(
-                    act.id, act.number, end.status, end.ran, latency_us=latency, too_large=end.too_large
+                    id_, number, end.status, end.ran, latency_us=latency, too_large=end.too_large
                 )
             else:
                 v = protocol.ran(end.response)
                 told = ports.AttemptEnd(
-                    act.id,
-                    act.number,
+                    id_,
+                    number,
                     v.status,
                     v.ran,
                     end.response.body if v.status is Status.OK else b"",
@@ -167,11 +177,11 @@
                 )
             self._put(told)
 
-        job = _Job(act.worker, encode(request), ended, time.monotonic())
-        if act.streamed:
-            job.first = lambda: self._put(ports.FirstByte(act.id, act.number))
+        job = _Job(worker, data, ended, began)
+        if streamed:
+            job.first = lambda: self._put(ports.FirstByte(id_, number))
         self._jobs[key] = job
-        self._begin(job)
+        return job
 
     def abandon(self, act: ports.Abandon) -> None:
         """Stop waiting for an attempt: its connection is of no further use."""
@@ -182,39 +192,103 @@
     def order(self, act: ports.Order) -> None:
         """Send an order to load, or a question."""
         request = protocol.hold(self._gateway, act.worker, act.function, act.copies, act.memory_mb, act.lanes)
+        now = time.monotonic()
+        self._begin(self._order_job(act.worker, act.number, encode(request), now, now + self._bounds.order_s))
 
+    def _order_job(self, worker: str, number: int, data: bytes, began: float, until: float) -> _Job:
         def ended(end: _End) -> None:
-            if job.timer:
-                self._loop.remove_timeout(job.timer)
-            latency = int((time.monotonic() - job.began) * 1e6)
+            self._over(job)
+            latency = int((time.monotonic() - began) * 1e6)
             status, copies, draining, start = end.status, 0, False, 0
             if end.response is not None:
                 status, copies, draining = protocol.held(end.response)
                 start = self._started(protocol.started_ms(end.response))
             heard = end.response is not None
-            self._put(ports.OrderEnd(act.number, status, copies, latency, draining, start, heard))
+            self._put(ports.OrderEnd(number, status, copies, latency, draining, start, heard))
 
-        job = _Job(act.worker, encode(request), ended, time.monotonic())
-        job.timer = self._loop.call_later(self._bounds.order_s, self._stop, job, Status.TIMEOUT)
-        self._begin(job)
+        job = _Job(worker, data, ended, began)
+        return self._limited(job, "order", number, until)
 
     def ask(self, act: ports.Ask) -> None:
         """Ask a worker whether it is there; any answer says so."""
         request = protocol.hold(self._gateway, act.worker, protocol.NO_FUNCTION, 0, 0.0, 1)
+        now = time.monotonic()
+        self._begin(self._ask_job(act.worker, encode(request), now, now + act.within_us / 1e6))
 
+    def _ask_job(self, worker: str, data: bytes, began: float, until: float) -> _Job:
         def ended(end: _End) -> None:
-            self._loop.remove_timeout(job.timer)
+            self._over(job)
             draining, start = False, 0
             if end.response is not None:
                 draining = protocol.held(end.response)[2]
                 start = self._started(protocol.started_ms(end.response))
-            self._put(ports.Asked(act.worker, end.response is not None, draining, start))
+            self._put(ports.Asked(worker, end.response is not None, draining, start))
 
-        job = _Job(act.worker, encode(request), ended, time.monotonic())
-        job.timer = self._loop.call_later(act.within_us / 1e6, self._stop, job, Status.TIMEOUT)
-        self._begin(job)
+        job = _Job(worker, data, ended, began)
+        return self._limited(job, "ask", 0, until)
+
+    def _limited(self, job: _Job, kind: str, number: int, until: float) -> _Job:
+        """A job with a time limit of the link's own."""
+        job.until = until
+        job.timer = self._loop.call_later(max(0.0, until - time.monotonic()), self._stop, job, Status.TIMEOUT)
+        self.others[job] = (kind, number)
+        return job
+
+    def _over(self, job: _Job) -> None:
+        self._loop.remove_timeout(job.timer)
+        self.others.pop(job, None)
+
+    # Another process goes on with what this one did (handover/state.py).
+
+    def all_jobs(self) -> list[_Job]:
+        """Everything on its way."""
+        return [*self._jobs.values(), *self.others]
+
+    def hold(self, on: bool) -> None:
+        """Open no connection while on: what waits for one is begun anew by whoever goes on."""
+        self._held = on
+        if not on:
+            waiting, self._waiting = self._waiting, []
+            for job in waiting:
+                self._begin(job)
+
+    def job_again(
+        self,
+        kind: str,
+        worker: str,
+        id_: str,
+        number: int,
+        data: bytes,
+        began: float,
+        until: float,
+        streamed: bool,
+    ) -> _Job:
+        """A job that another process had."""
+        if kind == "run":
+            return self._run_job(worker, id_, number, data, began, streamed)
+        if kind == "order":
+            return self._order_job(worker, number, data, began, until)
+        return self._ask_job(worker, data, began, until)
+
+    def carry_on(self, job: _Job, connection: _Connection, unsent: bytes, raw: bytes) -> None:
+        """Its request has been written, at least in part, on this connection; so much of its answer has
+        come."""
+        connection.job, job.connection, job.written = job, connection, True
+        connection.raw += raw
+        if unsent:
+            connection.stream.write(unsent)
+        for message in connection.parser.feed(raw):  # less than a whole answer, or it would have ended there
+            assert isinstance(message, Begun)
+        task = asyncio.ensure_future(connection.read())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _begin(self, job: _Job) -> None:
+        if job.over:
+            return
+        if self._held:
+            self._waiting.append(job)
+            return
         worker = self._workers.setdefault(job.worker, _Worker())
         while worker.idle:
             connection = worker.idle.pop()
@@ -243,12 +317,16 @@
         connection = _Connection(self, job.worker, stream, self._bounds.answer)
         if job.over:  # given up while the connection was opened: keep it for the next
             self.release(connection)
+        elif self._held:  # nothing may be written now
+            self._waiting.append(job)
+            self.release(connection)
         else:
             self._write(job, connection)
         await connection.read()
 
     def _write(self, job: _Job, connection: _Connection) -> None:
         connection.job, job.connection = job, connection
+        connection.raw.clear()
         try:
             connection.stream.write(job.data)
         except (StreamClosedError, StreamBufferFullError):
