--- a/swiftwell/gateway/journal.py
+++ b/swiftwell/gateway/journal.py
@@ -175,9 +175,12 @@
         """Something is not on disk yet."""
         return self._busy or (bool(self._waiting) and not self.failed)
 
-    def adopt(self, lock: int, segment: int) -> None:
-        """Go on with a journal that another process had, by its lock; it writes no more.  Raises OSError."""
-        self._lock, self._segment = lock, segment
+    def adopt(self, lock: int, segment: int, number: int) -> None:
+        """Go on with a journal that another process had, by its lock; it writes no more.  Raises OSError.
+
+        `number` is that of its last record: an engine that counts on goes on waiting for the same numbers.
+        """
+        self._lock, self._segment, self._number = lock, segment, number
         self._fd = os.open(self._folder / f"{segment:08d}.log", os.O_WRONLY | os.O_APPEND)
         self._size = self._base = os.fstat(self._fd).st_size
 
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -229,6 +229,7 @@
             self._tasks.append(asyncio.ensure_future(subscriber.run()))
         self._sweeper.start()
         self._offer = Offer(self)
+        self._offer.open()
         self._tasks.append(asyncio.ensure_future(self._offer.run()))
 
     def build_fronts(self) -> None:
--- a/swiftwell/handover/old.py
+++ b/swiftwell/handover/old.py
@@ -46,18 +46,22 @@
         self._tasks: set[asyncio.Task] = set()
         self.done = 0
 
-    async def run(self) -> None:
-        """Serve until the process ends."""
-        gateway = self._gateway
+    def open(self) -> None:
+        """Listen in the state folder."""
         try:
             self._path.unlink(missing_ok=True)
-            self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-            self._sock.bind(str(self._path))
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+            sock.bind(str(self._path))
             os.chmod(self._path, 0o600)
-            self._sock.listen(4)
-            self._sock.setblocking(False)
+            sock.listen(4)
+            sock.setblocking(False)
+            self._sock = sock
         except OSError as error:  # a path too long, a folder of another kind: upgrades need a restart then
-            gateway.log("warning", "no-handover", why=f"{self._path}: {error.strerror or error}")
+            self._gateway.log("warning", "no-handover", why=f"{self._path}: {error.strerror or error}")
+
+    async def run(self) -> None:
+        """Serve until the process ends."""
+        if self._sock is None:
             return
         loop = asyncio.get_running_loop()
         while True:
--- a/swiftwell/handover/snapshot.py
+++ b/swiftwell/handover/snapshot.py
@@ -294,7 +294,6 @@
         queue = deque(router.calls[one] for one in ids if one in router.calls)
         if queue:
             router.lines[function_name, group] = queue
-            router.news.add(function_name)
     for timer in books.timers:
         _timer_in(router, timer)
 
--- a/swiftwell/handover/state.py
+++ b/swiftwell/handover/state.py
@@ -530,7 +530,7 @@
     if state.lock >= 0:
         gateway._lock = os.dup(fds[state.lock])
     if gateway.journal and state.ledger_lock >= 0:
-        gateway.journal.adopt(os.dup(fds[state.ledger_lock]), state.segment)
+        gateway.journal.adopt(os.dup(fds[state.ledger_lock]), state.segment, state.writes)
     bounds = gateway.site.listener
     for one in state.peers:
         if one.connection is None:
--- a/swiftwell/proof/days.py
+++ b/swiftwell/proof/days.py
@@ -75,7 +75,7 @@
         arg=True,
         choice=("hang", "pause", "slow", "full", "mute", "reset", "die-after", "twice", "large", "refuse",
         "die",
-                "drain", "store", "list", "broker", "kill-gateway"),
+                "drain", "store", "list", "broker", "kill-gateway", "upgrade"),
         doc="what",
     )  # fmt: skip
     at: float = setting(low=0, doc="s after the start")
@@ -88,7 +88,11 @@
     band: str = setting("", doc="full: the class that is turned away; none is all")
     fault: str = setting("", doc="store, list, broker: which of its faults")
     keep: bool = setting(True, doc="broker restart: sessions are kept")
-    gateway: int = setting(0, low=0, doc="kill-gateway: which")
+    gateway: int = setting(0, low=0, doc="kill-gateway, upgrade: which")
+    count: int = setting(1, low=1, high=10_000, doc="upgrade: so many, `one-by-one-s` apart; times the scale")
+    crash_every: int = setting(
+        0, low=0, doc="upgrade: each so-many-th new process crashes, at varied steps; 0 none"
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/swiftwell/proof/runner.py
+++ b/swiftwell/proof/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import random
 import shutil
 import signal
@@ -17,11 +18,13 @@
 import msgspec
 
 from swiftwell.discovery import saved
+from swiftwell.handover.new import STEPS
 from swiftwell.proof import days
 from swiftwell.proof.rules import check
 from swiftwell.proof.trace import Trace, read
-from swiftwell.proof.verdict import starting, verdict
+from swiftwell.proof.verdict import handovers, starting, verdict
 
+CRASHES = STEPS[:-1]  # a crash after `owned` is a crash of the gateway itself
 READY_S = 20.0  # s that a program may take to start
 END_S = 30.0  # s that publishers may take beyond their calls
 
@@ -37,13 +40,16 @@
         self.name, self.process, self.log = name, process, log
 
     @classmethod
-    async def start(cls, name: str, folder: Path, *words: str) -> tuple[Program, dict[str, Any]]:
+    async def start(
+        cls, name: str, folder: Path, *words: str, env: dict[str, str] | None = None
+    ) -> tuple[Program, dict[str, Any]]:
         """Start `swiftwell WORDS` and wait for its first line, which is returned."""
         log = folder / f"{name}.log"
         with open(log, "ab") as err:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "swiftwell", *words,
                 stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=err, limit=1 << 22,
+                env=os.environ | (env or {}),
             )  # fmt: skip
         program = cls(name, process, log)
         try:
@@ -122,6 +128,8 @@
         result = verdict(self.name, self.seed, time.monotonic() - began, events, found)
         if self.day.list_down_s or self.day.saved != "none":
             result["start"] = starting(events)
+        if any(one.do == "upgrade" for one in self.day.troubles):
+            result |= handovers(events)
         result["rules_kept"] = not any(found.broken.values()) and not found.lost and not found.doubled
         if self._keep is None and result["rules_kept"]:
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -241,6 +249,8 @@
         match one.do:
             case "kill-gateway":
                 await self._kill(one.gateway, one.for_s)
+            case "upgrade":
+                await self._upgrades(one)
             case "store" | "list":
                 await self._fleet.tell(do=one.do, name=one.fault, for_s=one.for_s)
             case "broker" if self._broker:
@@ -267,6 +277,29 @@
                     do="fault", worker=worker, name=name.replace("-", "_"), for_s=one.for_s
                 )
 
+    async def _upgrades(self, one: days.Trouble) -> None:
+        """Handovers one after the other; some of the new processes crash on purpose, at each step in turn."""
+        number = one.gateway
+        for turn in range(1, max(1, round(one.count * self.scale)) + 1):
+            crash = one.crash_every and turn % one.crash_every == 0
+            step = CRASHES[turn // one.crash_every % len(CRASHES)] if crash else ""
+            self._trace.note("handover-begins", gw=f"gw-{number}", crash=step)
+            words = ("serve", str(self._sites[number]), "--take-over", "--ready")
+            try:
+                program, told = await Program.start(
+                    f"gw-{number}",
+                    self.folder,
+                    *words,
+                    env={"SWIFTWELL_HANDOVER_FAULT": f"crash:{step}"} if crash else {},
+                )
+                old, self._gateways[number] = self._gateways[number], program
+                await asyncio.wait_for(old.process.wait(), READY_S)
+                ok = told["listener"] == self._ports[number]
+            except DayFailed:
+                ok = False
+            self._trace.note("handover-ends", gw=f"gw-{number}", ok=ok, crash=step)
+            await asyncio.sleep(one.one_by_one_s)
+
     async def _kill(self, number: int, away_s: float) -> None:
         self._trace.note("killed", gw=f"gw-{number}")
         await self._gateways[number].end(signal.SIGKILL)
--- a/swiftwell/proof/verdict.py
+++ b/swiftwell/proof/verdict.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections import defaultdict
 from typing import Any
@@ -60,6 +61,50 @@
     }
 
 
+def handovers(events: list[Event]) -> dict[str, Any]:
+    """Handovers and crashes, and what clients felt: latency of tries that lived through one against the
+    others, and the longest time without any answer."""
+    began = 0
+    tries: dict[str, int] = {}
+    during: list[float] = []
+    outside: list[float] = []
+    answers: list[int] = []
+    spans: list[tuple[int, int]] = []
+    ended = crashed = unplanned = disconnected = 0
+    for event in events:
+        match event["ev"]:
+            case "handover-begins":
+                began = event["t"]
+            case "handover-ends":
+                spans.append((began, event["t"]))
+                crashed += bool(event["crash"])
+                ended += event["ok"]
+                unplanned += not event["ok"] and not event["crash"]
+            case "disconnected":
+                disconnected += 1
+    for event in events:
+        match event["ev"]:
+            case "try":
+                tries[event["corr"]] = event["t"]
+            case "answer" if event["kind"] == "served" and event["corr"] in tries:
+                start = tries.pop(event["corr"])
+                answers.append(event["t"])
+                inside = any(a <= event["t"] and start <= b for a, b in spans)
+                (during if inside else outside).append((event["t"] - start) / 1e3)
+    gaps = [b - a for a, b in itertools.pairwise(answers)]
+    return {
+        "handovers": ended,
+        "crashes": crashed,
+        "handovers_failed": unplanned,
+        "disconnected": disconnected,
+        "pause": {
+            "longest_gap_ms": round(max(gaps, default=0) / 1e3, 1),
+            "p99_during_ms": round(quantile(during, 0.99), 1),
+            "p99_outside_ms": round(quantile(outside, 0.99), 1),
+        },
+    }
+
+
 def verdict(day: str, seed: int, seconds: float, events: list[Event], found: Findings) -> dict[str, Any]:
     """What `day run --json` prints.
 
