Books of the module kept for a crash, believed after a kill by their age

Need: a gateway that is killed started with no beliefs, caps or paces, and had forgotten what rules 4 and 5 count. Change: written every three seconds beside the loop; a decision without I/O says what of it holds by age; workers of it are offered only when a list or their own word names them. Nothing is swept or pinged while a state is taken. Measured: tests only; share of warm calls after a restart is still to be measured.

--- a/swiftwell/fronts/mqtt/subscriber.py
+++ b/swiftwell/fronts/mqtt/subscriber.py
@@ -65,6 +65,7 @@
         self.peer = Peer(host, contract, f"broker:{link.name}", "", session, link.open, bool(link.share))
         self._closing = False
         self._adopted: Connection | None = None
+        self.resting = False  # nothing may be sent now
         self._subscribed = asyncio.Event()
         self.up = False
 
@@ -144,6 +145,8 @@
         while not connection.closed:
             await asyncio.sleep(min(1.0, self.link.keep_alive_s / 4))
             now = time.monotonic()
+            if self.resting:
+                continue
             if not connection.connected:
                 if now - began > CONNECT_S:
                     connection.abort("no CONNACK came")
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -23,6 +23,7 @@
 from swiftwell.gateway import ports
 from swiftwell.gateway.effects import Entry, Ledger, Record, Verdict
 from swiftwell.gateway.wheel import Wheel
+from swiftwell.handover import snapshot
 from swiftwell.interface import Effect, Status
 
 GUARD_TICKS = (
@@ -122,6 +123,7 @@
         self._orders: dict[int, tuple[str, str, int, int, int]] = {}
         self._numbers = self._writes = self._faults = 0
         self._books = 0  # numbers the module's books: timers of older ones mean nothing to newer ones
+        self._unconfirmed: set[str] = set()  # workers of books that a killed process left
         self._rebuilding = self._stopping = False
         self._events: list[io.Event] = []
         self.counts: dict[str, int] = dict.fromkeys(
@@ -198,6 +200,7 @@
                 self._order_ended(given)
             case ports.Listed():
                 self._events.append(self.list.listed(self._now, given.members))
+                self._confirm(given.members)
                 self._roster()
             case ports.Saved():
                 self._members(self.list.saved(self._now, given.entries))
@@ -410,6 +413,15 @@
         self._word(worker, end)
         self._events.append(io.Loaded(worker, function, end.status, self._now - sent, end.copies))
 
+    def _confirm(self, members: io.Members) -> None:
+        """The first whole list names which workers of believed books are still there; the others are
+        forgotten."""
+        if self._unconfirmed and members.how is io.ListKind.FULL:
+            gone = self._unconfirmed - self.list.known.keys()
+            entries = tuple(replace(self.router.workers[w].entry, state=io.State.GONE) for w in sorted(gone))
+            self._events.append(io.Members(io.ListKind.DELTA, entries))
+            self._unconfirmed = set()
+
     def _word(self, worker: str, end: ports.AttemptEnd | ports.OrderEnd) -> None:
         """What a worker says of itself corrects the list at once."""
         heard = end.answered or end.draining
@@ -624,6 +636,12 @@
         """The time at which calls are put in, before the first `step`."""
         self._wheel, self._now, self._wall = Wheel(now_us), now_us, wall_us
 
+    def believe(self, books: snapshot.RouterBooks) -> None:
+        """Start with what may be believed of the books of a process that was killed."""
+        snapshot.put(self.router, books)
+        self.router.seq = 0  # its first `handle` still sets the first timers
+        self._unconfirmed = set(self.router.workers)
+
     def restore_timers(self, orders: Iterable[tuple[int, str, str, int, int]]) -> None:
         """Set every timer that calls, orders and books put in want."""
         wheel = self._wheel
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -40,6 +40,8 @@
 from swiftwell.gateway.engine import Engine, tables
 from swiftwell.gateway.journal import Journal
 from swiftwell.gateway.logs import Logs
+from swiftwell.handover import snapshot
+from swiftwell.handover.books import Books
 from swiftwell.http.http1 import Request, Response
 from swiftwell.http.server import Server
 from swiftwell.settings.site import Site, host_port
@@ -77,6 +79,7 @@
         self.keeper: Keeper | None = None
         self._service: sources.ListService | None = None
         self._lock = -1
+        self.books = Books(Path(site.state), self.log, self._loop.add_callback)
         self.frozen = False  # another process is being given what this one has
         self.resting: list[IOStream] = []
         self.adopted: Any = None
@@ -201,6 +204,10 @@
             self.bind("mqtt")
         if self.site.health:
             self.bind("health")
+        now = self.clock.now_us()
+        if believed := self.books.load(now):
+            self.engine.start_at(now, self.clock.wall_us())
+            self.engine.believe(believed)
         self._go(fresh=True)
         self.put(ports.Listed(io.Members(io.ListKind.DELTA, ())))  # the module sets its first timers
 
@@ -410,6 +417,7 @@
     def _sweep(self) -> None:
         self.link.sweep()
         self.logs.sweep()
+        self.books.look(self.clock.now_us(), lambda: snapshot.take(self.engine.router))
         if self.keeper and self._service:
             self.keeper.epoch = self._service.index
             self.keeper.look(int(self._service.heard_at * 1e6))
@@ -443,6 +451,7 @@
             self.journal.close()
         if self.keeper:
             self.keeper.close()
+        self.books.close()
         if self._offer:
             self._offer.close()
         if self._lock >= 0:
--- /dev/null
+++ b/swiftwell/handover/crash.py
@@ -0,0 +1,71 @@
+"""How much of the last written books may be believed after a kill.  A decision, no I/O.
+
+Books are written every few seconds.  After a kill nobody knows what the calls in flight did, so none is
+carried; what rules 3, 4 and 5 count is kept whole, as forgetting would allow too much; beliefs fade by the
+times that they carry.
+"""
+
+from __future__ import annotations
+
+from msgspec.structs import replace
+
+from swiftwell.handover.snapshot import RouterBooks, WorkerBooks
+
+EVERY_US = 3_000_000  # us between two writings
+COPIES_US = 30_000_000  # us: older books say nothing of warm copies, which others may have pushed out since
+USUAL_US = 3_600_000_000  # us: older books say nothing of how long calls take or how workers differ
+
+
+def believe(books: RouterBooks, age_us: int | None, same_boot: bool) -> RouterBooks | None:
+    """The part of written books that a new start takes; None for nothing.
+
+    `age_us` None: it can't be known.  The books' times are steady ones: after a restart of the machine they
+    mean nothing.
+    """
+    if not same_boot or age_us is None or age_us < 0:
+        return None
+    fresh, usual = age_us <= COPIES_US, age_us <= USUAL_US
+    workers = [_worker(one, fresh, usual) for one in books.workers]
+    if not usual:
+        return replace(_empty(books), workers=workers)
+    return replace(
+        _empty(books),
+        workers=workers,
+        latency=books.latency,
+        usual=books.usual,
+        kind_pace=books.kind_pace,
+        median=books.median,
+        usual_held=books.usual_held,
+    )
+
+
+def _empty(books: RouterBooks) -> RouterBooks:
+    """What is kept in any case: the windows of rule 5, and no more retries than are left."""
+    return RouterBooks(
+        taken=books.taken,
+        orders=books.orders,
+        retries=min(books.retries, RouterBooks().retries / 2),
+        now=books.now,
+    )
+
+
+def _worker(one: WorkerBooks, fresh: bool, usual: bool) -> WorkerBooks:
+    """A worker's books without calls; not offered until a list or the worker itself has named it."""
+    kept = WorkerBooks(
+        one.worker,
+        "Stopping",
+        one.kind,
+        one.weight,
+        one.started_us,
+        one.zone,
+        one.cell,
+        sends=one.sends,
+        rest_until=one.rest_until,
+        failures=one.failures,
+        warm_at=one.warm_at,
+    )
+    if fresh:
+        kept = replace(kept, copies=one.copies, shut=one.shut, refused=one.refused, full_until=one.full_until)
+    if usual:
+        kept = replace(kept, cap=one.cap, pace=one.pace, pace_at=one.pace_at)
+    return kept
--- a/swiftwell/handover/state.py
+++ b/swiftwell/handover/state.py
@@ -237,6 +237,14 @@
     return out
 
 
+def _sweeping(gateway: Gateway, on: bool) -> None:
+    """What looks after sessions, keep-alives and idle connections must not change what is being taken."""
+    for callback in [gateway._sweeper, *([gateway.endpoint._sweep] if gateway.endpoint else [])]:
+        callback.start() if on else callback.stop()
+    for s in gateway.subscribers:
+        s.resting = not on
+
+
 async def freeze(gateway: Gateway, within_s: float) -> None:
     """Come to rest: nothing is accepted, read or sent, the ledger is on disk, every input has been taken.
 
@@ -249,6 +257,7 @@
     for stream in gateway.resting:
         _rest(stream)
     gateway.link.hold(True)
+    _sweeping(gateway, False)
     until = time.monotonic() + within_s
     # What had been read already runs through; the ledger catches up.
     while True:
@@ -272,6 +281,7 @@
     for _, server in _servers(gateway):
         server.add_sockets(list(server._sockets.values()))
     gateway.link.hold(False)
+    _sweeping(gateway, True)
     gateway.wake()
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,7 +23,7 @@
 from swiftwell.choice import Router
 from swiftwell.fronts.mqtt.codec import Connect, Decoder, Publish, encode
 from swiftwell.gateway import ports
-from swiftwell.handover import snapshot, state
+from swiftwell.handover import books, crash, snapshot, state
 from swiftwell.handover.channel import Broken, Channel
 from swiftwell.handover.new import STEPS
 from swiftwell.handover.old import _agree, socket_path
@@ -57,12 +57,12 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_books_put_back_and_taken_again_are_the_same(seed):
     router = busy(seed).engine.router
-    books = snapshot.take(router)
-    assert books.calls and books.timers and any(worker.copies for worker in books.workers)
-    raw = msgspec.msgpack.encode(books)
+    taken = snapshot.take(router)
+    assert taken.calls and taken.timers and any(worker.copies for worker in taken.workers)
+    raw = msgspec.msgpack.encode(taken)
     other = Router(LOADS, 1)
     snapshot.put(other, msgspec.msgpack.decode(raw, type=snapshot.RouterBooks))
-    assert snapshot.take(other) == books
+    assert snapshot.take(other) == taken
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -86,8 +86,7 @@
 
 
 def test_a_state_of_another_version_is_read_with_defaults():
-    books = snapshot.take(busy(1).engine.router)
-    plain = msgspec.to_builtins(books)
+    plain = msgspec.to_builtins(snapshot.take(busy(1).engine.router))
     plain["workers"][0]["grown"] = {"in": "a later version"}  # not known here: dropped
     for worker in plain["workers"]:
         del worker["pace"], worker["failures"]  # of an earlier version: defaulted
@@ -103,6 +102,54 @@
             state.decode(raw)
 
 
+def test_after_a_kill_beliefs_are_taken_by_their_age_and_calls_never():
+    taken = snapshot.take(busy(1).engine.router)
+    assert crash.believe(taken, 0, False) is None and crash.believe(taken, None, True) is None
+    assert crash.believe(taken, -1, True) is None
+    for age in (1, crash.COPIES_US + 1, crash.USUAL_US + 1):
+        told = crash.believe(taken, age, True)
+        assert not told.calls and not told.timers and not any(w.inflight or w.busy for w in told.workers)
+        assert told.orders == taken.orders and [w.sends for w in told.workers] == [
+            w.sends for w in taken.workers
+        ]
+        assert any(w.copies for w in told.workers) == (age <= crash.COPIES_US)
+        assert (told.usual == taken.usual) == (age <= crash.USUAL_US)
+        assert told.retries <= 5 and {w.state for w in told.workers} == {"Stopping"}
+
+
+def test_a_start_with_believed_books_offers_no_worker_before_a_list_names_it():
+    old = busy(2)
+    warm = {w.worker: set(w.copies) for w in snapshot.take(old.engine.router).workers}
+    play = Play(LOADS, workers=None)
+    play.now = old.now + 1_000_000
+    play.engine.start_at(play.now, play.wall)
+    play.engine.believe(crash.believe(snapshot.take(old.engine.router), 1_000_000, True))
+    assert not only(play.call(function="f1"), ports.Start)
+    entries = tuple(w.entry for w in old.engine.router.workers.values())[:4]
+    play.do(ports.Listed(io.Members(io.ListKind.FULL, entries)))
+    play.wait(1_100_000, 10_000)
+    assert set(play.engine.router.workers) == {e.worker for e in entries}
+    kept = [w for w in entries if play.engine.router.workers[w.worker].copies]
+    assert kept and all(
+        set(play.engine.router.workers[w.worker].copies) <= warm[w.worker] | {"f1"} for w in kept
+    )
+
+
+def test_books_on_disk_are_used_whole_or_not_at_all(tmp_path):
+    lines, posts = [], []
+    one = books.Books(tmp_path, lambda *a, **k: lines.append(a[1]), posts.append)
+    assert one.load(0) is None and not lines
+    router = busy(1).engine.router
+    one.look(10_000_000, lambda: snapshot.take(router))
+    one.close()
+    assert [w.worker for w in one.load(11_000_000).workers] == list(router.workers)
+    raw = (tmp_path / "books").read_bytes()
+    for bad in (raw[:-1], raw[:9], b"", b"x" + raw[1:], raw[:-1] + bytes((raw[-1] ^ 1,))):
+        (tmp_path / "books").write_bytes(bad)
+        assert one.load(0) is None
+    assert lines.count("books-unusable") == 5
+
+
 def test_who_may_take_over():
     good = {"protocol": 1, "least": 1, "name": "gw"}
     _agree(good, "gw")
