Peers are asked for their list; the call had never been wired in

Cause: the client had the question and nothing called it. A test with two gateways, one list server and a dead address brings it out.

--- a/swiftwell/discovery/sources.py
+++ b/swiftwell/discovery/sources.py
@@ -101,6 +101,8 @@
             except (Unreachable, SettingsError) as error:
                 turn += 1
                 self._backoff.ended(time.monotonic() - began)
+                if not self.heard_at and turn % len(self._servers) == 0:
+                    await self._ask_peers()
                 wait = self._backoff.wait_s()
                 self._log(
                     "warning", "list-lost", server=f"{host}:{port}", why=str(error), again_in_s=round(wait, 2)
--- a/tests/socketbench.py
+++ b/tests/socketbench.py
@@ -34,11 +34,12 @@
 
 
 @asynccontextmanager
-async def gateway(folder, addresses=(), *, more="", listener="", extra="", make=None, orders=False):
+async def gateway(
+    folder, addresses=(), *, more="", listener="", extra="", make=None, orders=False, workers=""
+):
     """A gateway that sends to these workers."""
-    workers = (
-        "; ".join(f'worker "{address}" kind="k"' for address in addresses) or 'worker "127.0.0.1:9" kind="k"'
-    )
+    named = "; ".join(f'worker "{address}" kind="k"' for address in addresses)
+    workers = workers or named or 'worker "127.0.0.1:9" kind="k"'
     site = read(
         SITE.format(
             orders="" if orders else "orders false;",
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -498,3 +498,30 @@
     play.do()
     assert set(play.engine.router.workers) == {"a", "b", "c"}
     assert isinstance(play.engine.router.workers["a"].entry, io.WorkerEntry)
+
+
+def test_a_gateway_that_starts_without_a_list_takes_that_of_a_peer(tmp_path):
+    from socketbench import Console, gateway, raw_worker, serving
+
+    async def body():
+        async with raw_worker(serving) as worker:
+            listing = Listing(Trace("list"), 0.0)
+            port = listing.start()
+            listing.put(worker, now=True, started_ms=0, kind="k")
+            block = 'list {{ servers "127.0.0.1:{}"; wait-s 1; peers "127.0.0.1:{}" }}'
+            health = "health port=0"
+            first = gateway(tmp_path / "a", workers=block.format(port, 9), extra=health)
+            async with first as one:
+                console = await Console("a").connect(one.listener_port)
+                assert (await console.call())[0] == "served"
+                second = gateway(tmp_path / "b", workers=block.format(9, one.health_port), extra=health)
+                async with second as two:
+                    other = await Console("b").connect(two.listener_port)
+                    for _ in range(10):
+                        kind, _ = await other.call(timeout=900)
+                        if kind == "served":
+                            break
+                    assert kind == "served" and "list-of-peer" in two.lines.getvalue()
+            listing.server.stop()
+
+    run(body())
