A callback nobody gave, and calls taken only to be dropped, are gone

The books written every three seconds built every held call on the loop and threw it away; connections took a callback that was empty everywhere. Behaviour as before.

--- a/swiftwell/discovery/keeper.py
+++ b/swiftwell/discovery/keeper.py
@@ -29,7 +29,6 @@
         self._busy = False
         self._told = ""  # the failure told last: a full disk is told once, not every second
         self.epoch = 0
-        self.loaded_age_us: int | None = None
 
     def load(self) -> tuple[tuple[io.WorkerEntry, int | None], ...]:
         """The saved list with the age of each entry; what could not be used is logged."""
@@ -41,7 +40,7 @@
         told = found.saved
         wall, mono = self._clock.wall_us(), self._clock.now_us()
         self._count = len(told.workers)
-        self.loaded_age_us = saved.age_us(told, told.wall_us, wall, mono, self._boot)
+        age_us = saved.age_us(told, told.wall_us, wall, mono, self._boot)
         out = []
         for one in told.workers:
             word = max(one.listed_us, one.answered_us)
@@ -49,7 +48,7 @@
             start = self._clock.started_us(one.started_us / 1_000)
             entry = io.WorkerEntry(one.worker, state, one.kind, 1.0, start, one.zone, one.cell)
             out.append((entry, saved.age_us(told, word, wall, mono, self._boot)))
-        age = None if self.loaded_age_us is None else self.loaded_age_us // 1_000_000
+        age = None if age_us is None else age_us // 1_000_000
         self._log("info", "saved-list", file=found.file, workers=len(out), age_s=age, epoch=told.epoch)
         return tuple(out)
 
--- a/swiftwell/fronts/mqtt/client.py
+++ b/swiftwell/fronts/mqtt/client.py
@@ -97,7 +97,7 @@
         return told
 
     async def _run(self, connection: Connection) -> None:
-        await connection.run(self._packet, lambda: None)
+        await connection.run(self._packet)
         if self._pinger:
             self._pinger.cancel()
         for future in (self._ready, self._granted):
--- a/swiftwell/fronts/mqtt/connection.py
+++ b/swiftwell/fronts/mqtt/connection.py
@@ -45,8 +45,8 @@
     def version(self) -> int:
         return self.decoder.version
 
-    async def run(self, on_packet: Callable[[Packet], None], on_idle: Callable[[], None]) -> None:
-        """Hand on packets until the end; `on_idle` is called after each chunk, to carry out what it set off.
+    async def run(self, on_packet: Callable[[Packet], None]) -> None:
+        """Hand on packets until the end.
 
         A protocol error ends the connection with its reason code; it is the peer's and nobody else's trouble.
         """
@@ -58,7 +58,6 @@
                     on_packet(packet)
                     if self.closed:
                         break
-                on_idle()
         except StreamClosedError:
             self.why = self.why or "closed by the peer"
         except ProtocolError as error:
--- a/swiftwell/fronts/mqtt/endpoint.py
+++ b/swiftwell/fronts/mqtt/endpoint.py
@@ -158,7 +158,7 @@
                 self._packet(client[0], connection, packet)
 
         try:
-            await connection.run(take, lambda: None)
+            await connection.run(take)
         finally:
             self._connections.discard(connection)
             if client:
--- a/swiftwell/fronts/mqtt/subscriber.py
+++ b/swiftwell/fronts/mqtt/subscriber.py
@@ -115,7 +115,7 @@
     async def _serve(self, connection: Connection) -> str:
         keeper = asyncio.create_task(self._keep(connection))
         try:
-            await connection.run(lambda packet: self._packet(connection, packet), lambda: None)
+            await connection.run(lambda packet: self._packet(connection, packet))
         finally:
             keeper.cancel()
             self.up = False
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -417,7 +417,7 @@
     def _sweep(self) -> None:
         self.link.sweep()
         self.logs.sweep()
-        self.books.look(self.clock.now_us(), lambda: snapshot.take(self.engine.router))
+        self.books.look(self.clock.now_us(), lambda: snapshot.take(self.engine.router, calls=False))
         if self.keeper and self._service:
             self.keeper.epoch = self._service.index
             self.keeper.look(int(self._service.heard_at * 1e6))
--- a/swiftwell/handover/books.py
+++ b/swiftwell/handover/books.py
@@ -69,13 +69,11 @@
         return believed
 
     def look(self, now_us: int, take: Callable[[], snapshot.RouterBooks]) -> None:
-        """Write, if it is time."""
+        """Write what `take` gives, if it is time: books without calls, which a start could not believe."""
         if self._busy or now_us - self._at < crash.EVERY_US:
             return
         self._busy, self._at = True, now_us
-        books = take()
-        books.calls, books.lines, books.timers = [], [], []  # a start could not believe them
-        self._pool.submit(self._write, Kept(self._boot, now_us, books))
+        self._pool.submit(self._write, Kept(self._boot, now_us, take()))
 
     def _write(self, kept: Kept) -> None:
         why = ""
--- a/swiftwell/handover/snapshot.py
+++ b/swiftwell/handover/snapshot.py
@@ -167,8 +167,8 @@
     return TimerBooks(token, "look", [], due)
 
 
-def take(router: Router) -> RouterBooks:
-    """The books of a router, between two of its `handle`s."""
+def take(router: Router, calls: bool = True) -> RouterBooks:
+    """The books of a router, between two of its `handle`s; without calls, lines and timers unless `calls`."""
     out = RouterBooks(
         taken=list(router.taken.times),
         orders=list(router.orders.times),
@@ -219,6 +219,8 @@
         out.functions.append(
             FunctionBooks(f.name, f.load_us, f.rate.total, f.rate.at, f.memory, f.lanes, f.coming, holders)
         )
+    if not calls:
+        return out
     for call in router.calls.values():
         request = {one.name: getattr(call.request, one.name) for one in fields(io.Request)}
         attempts = [
--- a/swiftwell/standins/broker.py
+++ b/swiftwell/standins/broker.py
@@ -149,7 +149,7 @@
 
         late = asyncio.ensure_future(stalled())
         try:
-            await connection.run(take, lambda: None)
+            await connection.run(take)
         finally:
             late.cancel()
             self._connections.discard(connection)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -140,7 +140,7 @@
     one = books.Books(tmp_path, lambda *a, **k: lines.append(a[1]), posts.append)
     assert one.load(0) is None and not lines
     router = busy(1).engine.router
-    one.look(10_000_000, lambda: snapshot.take(router))
+    one.look(10_000_000, lambda: snapshot.take(router, calls=False))
     one.close()
     assert [w.worker for w in one.load(11_000_000).workers] == list(router.workers)
     raw = (tmp_path / "books").read_bytes()
