AMQP 0-9-1 triggers: codec, consumer, stand-in broker, and the decisions between gateways

Plants and offices publish over AMQP; the second front shares the engine, the ledger and what is read in a message (fronts/reading.py) with the first.

A trigger of a class with effects is acknowledged before it runs, and the broker's next answer on the channel is awaited, so what a broker delivers again has run nowhere; after a young connection it is in doubt instead (redelivery.py). Answers are confirmed and mandatory; blocked publications are bounded. The stand-in broker has exchanges, priorities, expiry, dead letters, confirms, alarms and faults; pika agrees with codec and broker.

--- a/swiftwell/cli/main.py
+++ b/swiftwell/cli/main.py
@@ -121,6 +121,7 @@
         raise click.UsageError("SITE is missing (or give --fields)")
     found = _load(site)
     fronts = (["mqtt-listener"] if found.listener else []) + [f"mqtt-broker {b.name}" for b in found.brokers]
+    fronts += [f"amqp-broker {b.name}" for b in found.amqp]
     click.echo(f"{site}: good; {found.name}, {len(found.classes)} classes, {', '.join(fronts)}")
 
 
--- a/swiftwell/cli/standin.py
+++ b/swiftwell/cli/standin.py
@@ -64,6 +64,22 @@
     _run(run)
 
 
+@standin.command()
+@_PORT
+@_TRACE
+@click.option("--heartbeat-s", default=60, show_default=True, help="Heartbeat that it asks for.")
+def amqp(port: int, trace: Path | None, heartbeat_s: int) -> None:
+    """An AMQP 0-9-1 broker."""
+    from swiftwell.standins.amqp import AmqpBroker
+
+    async def run() -> None:
+        server = AmqpBroker(_trace(trace, "amqp"), heartbeat_s=heartbeat_s)
+        say({"port": server.start(port)})
+        await _until_told(Controls({"fault": server.fault}))
+
+    _run(run)
+
+
 @standin.command()
 @_PORT
 @_TRACE
--- a/swiftwell/fronts/host.py
+++ b/swiftwell/fronts/host.py
@@ -27,6 +27,9 @@
     def effect(self, band: str) -> Effect | None:
         """What a repeat of a class does; None for an unknown class."""
 
+    def load(self) -> tuple[int, int]:
+        """Calls of all fronts that are at a worker, and that wait."""
+
     def log(self, level: str, event: str, **fields: object) -> None:
         """A line for the log."""
 
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -184,6 +184,11 @@
         """Calls with something outstanding."""
         return len(self._calls)
 
+    def load(self) -> tuple[int, int]:
+        """Calls with an attempt out, and calls that wait for one."""
+        running = sum(call.out() for call in self._calls.values())
+        return running, sum(not call.settled for call in self._calls.values()) - running
+
     # Inputs.
 
     def _take(self, given: ports.Input) -> None:
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -29,6 +29,12 @@
 from swiftwell import interface as io
 from swiftwell.discovery import sources
 from swiftwell.discovery.keeper import Keeper
+from swiftwell.fronts.amqp.consumer import BrokerLink as AmqpBroker
+from swiftwell.fronts.amqp.consumer import Queue as AmqpQueue
+from swiftwell.fronts.amqp.contract import Contract as AmqpContract
+from swiftwell.fronts.amqp.link import Link as AmqpLink
+from swiftwell.fronts.amqp.redelivery import Redelivered
+from swiftwell.fronts.amqp.session import Login
 from swiftwell.fronts.mqtt.codec import V5, V311, Connect, Reason
 from swiftwell.fronts.mqtt.contract import Contract
 from swiftwell.fronts.mqtt.endpoint import Endpoint, EndpointBounds
@@ -46,6 +52,7 @@
 from swiftwell.handover.books import Books
 from swiftwell.http.http1 import Request, Response
 from swiftwell.http.server import Server
+from swiftwell.settings.site import AmqpBroker as AmqpSettings
 from swiftwell.settings.site import Site, host_port
 from swiftwell.workers.link import Link, LinkBounds
 
@@ -90,6 +97,7 @@
         self.journal: Journal | None = None
         self.endpoint: Endpoint | None = None
         self.subscribers: list[Subscriber] = []
+        self.amqp: list[AmqpLink] = []
         self._inputs: list[ports.Input] = []
         self._stepping = False
         self._timer: object = None
@@ -120,6 +128,10 @@
         """What a repeat of a class does."""
         return self._effects.get(band)
 
+    def load(self) -> tuple[int, int]:
+        """Calls at workers, and calls that wait."""
+        return self.engine.load()
+
     def log(self, level: str, event: str, **fields: object) -> None:
         """A line for the log."""
         self.logs.write(level, event, **fields)
@@ -235,8 +247,8 @@
         from swiftwell.handover.old import Offer
 
         self._follow_list(fresh)
-        for subscriber in self.subscribers:
-            self._tasks.append(asyncio.ensure_future(subscriber.run()))
+        for link in (*self.subscribers, *self.amqp):
+            self._tasks.append(asyncio.ensure_future(link.run()))
         self._sweeper.start()
         self._offer = Offer(self)
         self._offer.open()
@@ -264,6 +276,9 @@
                 open=broker.open_calls,
             )  # fmt: skip
             self.subscribers.append(Subscriber(self, contract, link, self._chance))
+        for one in site.amqp:
+            amqp_contract = AmqpContract(site.topic, deadlines, site.hint, alone)
+            self.amqp.append(AmqpLink(self, amqp_contract, amqp_link(one, site), self._chance, alone))
         if site.health:
             self._health = Server(self._answer)
 
@@ -425,6 +440,8 @@
         found = tables(self.engine) | self.link.sizes()
         if self.endpoint:
             found |= {"connections": self.endpoint.connections, "sessions": len(self.endpoint.clients)}
+        for link in self.amqp:
+            found |= {f"{link.link.name}_{name}": size for name, size in link.consumer.sizes().items()}
         return found
 
     def _sweep(self) -> None:
@@ -454,8 +471,8 @@
         while self.engine.open and self.clock.now_us() < until:
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.05)  # the last answers go out
-        for subscriber in self.subscribers:
-            subscriber.close()
+        for link in (*self.subscribers, *self.amqp):
+            link.close()
         if self.endpoint:
             self.endpoint.close()
         for task in self._tasks:
@@ -487,3 +504,22 @@
     def _succeed(self, words: list[str]) -> None:
         self.log("info", "successor", words=" ".join(words))
         subprocess.Popen(words, start_new_session=True, stdin=subprocess.DEVNULL)
+
+
+def amqp_link(one: AmqpSettings, site: Site) -> AmqpBroker:
+    """A broker of the settings, as its link wants it."""
+    login = Login(
+        site.name, one.username, one.password, one.vhost, one.heartbeat_s, one.frame_bytes, one.body_bytes
+    )
+    queues = tuple(
+        AmqpQueue(
+            queue.name, queue.declare, queue.durable, queue.exchange, queue.exchange_type, queue.key,
+            queue.dead_letter, queue.max_priority,
+        )
+        for queue in one.queues
+    )  # fmt: skip
+    return AmqpBroker(
+        one.name, tuple(map(host_port, one.address)), login, queues, one.prefetch_least, one.prefetch_most,
+        Redelivered(one.redelivered), one.dead_letter, one.unroutable, one.waiting_answers, one.open_calls,
+        one.waiting_bytes,
+    )  # fmt: skip
--- a/swiftwell/handover/state.py
+++ b/swiftwell/handover/state.py
@@ -23,6 +23,11 @@
 
 from swiftwell import interface as io
 from swiftwell.discovery.roster import Known
+from swiftwell.fronts.amqp import codec
+from swiftwell.fronts.amqp.codec import Properties
+from swiftwell.fronts.amqp.consumer import Claim, Consumer, Out, twin
+from swiftwell.fronts.amqp.contract import Ref as AmqpRef
+from swiftwell.fronts.amqp.link import Link as AmqpLink
 from swiftwell.fronts.mqtt.codec import Publish, Will
 from swiftwell.fronts.mqtt.connection import Connection
 from swiftwell.fronts.mqtt.contract import Ref
@@ -150,6 +155,48 @@
     fd: int
 
 
+class OutState(msgspec.Struct):
+    """A message to an AMQP broker that it has not confirmed."""
+
+    kind: str
+    exchange: str
+    key: str
+    properties: Properties
+    body: bytes = b""
+    ref: RefState | None = None
+    tries: int = 0
+    returned: bool = False
+
+
+class AmqpState(msgspec.Struct):
+    """The link to an AMQP broker with its connection, if that is open."""
+
+    name: str
+    fd: int = -1
+    pending: bytes = b""
+    unsent: bytes = b""
+    frame_max: int = 4_096
+    heartbeat_s: int = 0
+    channel_max: int = 0
+    channels: dict[int, str] = {}
+    can_block: bool = False
+    can_confirm: bool = False
+    confirming: bool = False
+    up: bool = False
+    blocked: bool = False
+    paused: bool = False
+    told: int = 0
+    since: float = 0.0
+    generation: int = 0
+    seq: int = 0
+    number: int = 0
+    limit: int = 0
+    barriers: list[list[tuple[TriggerState, float]]] = []
+    outbox: list[OutState] = []
+    flight: list[tuple[int, OutState]] = []
+    done: list[RefState] = []  # answered of late, in case they are delivered again
+
+
 class RosterState(msgspec.Struct):
     """What is known of workers, beside what the module knows."""
 
@@ -177,6 +224,7 @@
     peers: list[PeerState] = []
     jobs: list[JobState] = []
     listeners: list[ListenerState] = []
+    amqp: list[AmqpState] = []
     roster: RosterState = msgspec.field(default_factory=RosterState)
     router: snapshot.RouterBooks = msgspec.field(default_factory=snapshot.RouterBooks)
     lock: int = -1
@@ -240,6 +288,7 @@
     if gateway.endpoint:
         out += [connection.stream for connection in gateway.endpoint._connections]
     out += [s.peer.connection.stream for s in gateway.subscribers if s.peer.connection]
+    out += [link.stream for link in gateway.amqp if link.stream]
     for worker in gateway.link._workers.values():
         out += [connection.stream for connection in worker.idle]
     out += [job.connection.stream for job in gateway.link.all_jobs() if job.connection]
@@ -250,8 +299,10 @@
     """What looks after sessions, keep-alives and idle connections must not change what is being taken."""
     for callback in [gateway._sweeper, *([gateway.endpoint._sweep] if gateway.endpoint else [])]:
         callback.start() if on else callback.stop()
-    for s in gateway.subscribers:
-        s.resting = not on
+    for link in (*gateway.subscribers, *gateway.amqp):
+        link.resting = not on
+    for link in gateway.amqp:
+        link.consumer.rest(not on)
 
 
 async def freeze(gateway: Gateway, within_s: float) -> None:
@@ -332,6 +383,7 @@
         one = PeerState("broker", s.link.name, _session_out(s.peer.session), s.peer.generation, up=s.up)
         one.connection = _connection_out(s.peer.connection, add)
         state.peers.append(one)
+    state.amqp = [_amqp_out(link, add) for link in gateway.amqp]
     for key, job in gateway.link._jobs.items():
         state.jobs.append(_job_out(job, add, "run", id=key[0], number=key[1]))
     for job, (kind, number) in gateway.link.others.items():
@@ -354,7 +406,56 @@
     return ({"mqtt": "client", "broker": "broker"}.get(kind, ""), name)
 
 
-def _ref_out(ref: Ref) -> RefState:
+def _amqp_out(link: AmqpLink, add: Any) -> AmqpState:
+    consumer, session = link.consumer, link.consumer.session
+    one = AmqpState(link.link.name, generation=consumer.generation, number=consumer._number)
+    one.limit, one.since = consumer.prefetch.limit, consumer.since
+    waiting = [*consumer.outbox, *(out for _, _, out in consumer.later)]
+    one.outbox = [_out_out(out) for out in waiting]
+    one.flight = [(number, _out_out(out)) for number, out in consumer.flight.items()]
+    one.barriers = [
+        [(_trigger_out(claim.trigger), claim.at) for claim in batch] for batch in consumer.barriers
+    ]
+    one.done = [_ref_out(ref) for ref in consumer.twins.values() if ref.acked]
+    if session is None or session.state != "ready" or link.stream is None or link.stream.closed():
+        return one  # the other process connects by itself
+    one.fd = add(link.stream.socket.fileno())
+    parked = b"".join(
+        codec.encode_content(event.channel, event.method, event.properties, event.body, session.frame_max)
+        for event in consumer.parked
+        if event.properties
+    )
+    one.pending = parked + session.wire.pending()
+    one.unsent = _unsent(link.stream) + bytes(session.out)
+    one.frame_max, one.heartbeat_s = session.frame_max, session.heartbeat_s
+    one.channel_max, one.channels = session.channel_max, dict(session.channels)
+    one.can_block, one.can_confirm = session.can_block, session.can_confirm
+    one.confirming, one.up, one.told = consumer._confirming, consumer.up, consumer._told
+    one.blocked, one.paused, one.seq = consumer.blocked, consumer.paused, consumer.seq
+    return one
+
+
+def _out_out(out: Out) -> OutState:
+    ref = _ref_out(out.ref) if out.ref else None
+    return OutState(out.kind, out.exchange, out.key, out.properties, out.body, ref, out.tries, out.returned)
+
+
+def _ref_out(ref: Ref | AmqpRef) -> RefState:
+    if isinstance(ref, AmqpRef):
+        consumer, generation = ref.connection
+        return RefState(
+            "amqp",
+            consumer.link.name,
+            generation,
+            0,
+            ref.tag,
+            int(ref.safe),
+            ref.reply,
+            ref.correlation,
+            ref.key,
+            ref.acked,
+            [_ref_out(one) for one in ref.also],
+        )
     peer, generation = ref.connection
     also = [_ref_out(one) for one in ref.also]
     return RefState(
@@ -462,6 +563,12 @@
     peers: dict[tuple[str, str], Peer] = {}
     for one in state.peers:
         _peer_in(gateway, one, fds, peers)
+    for link in gateway.amqp:
+        peers["amqp", link.link.name] = link.consumer  # type: ignore[assignment]
+    for told in state.amqp:
+        for link in gateway.amqp:
+            if link.link.name == told.name:
+                _amqp_in(gateway, link, told, peers)
     for call in state.calls:
         _call_in(gateway, call, peers)
     engine.restore_timers(state.orders)
@@ -503,7 +610,57 @@
     return connection
 
 
-def _ref_in(one: RefState, peers: dict[tuple[str, str], Peer], gateway: Gateway) -> Ref:
+def _amqp_in(gateway: Gateway, link: AmqpLink, one: AmqpState, peers: dict[tuple[str, str], Peer]) -> None:
+    consumer = link.consumer
+    consumer.generation, consumer._number = one.generation, one.number
+    consumer.prefetch.limit = consumer.prefetch._bounded(one.limit)
+    for told in one.done:
+        ref = _ref_in(told, peers, gateway)
+        assert isinstance(ref, AmqpRef)
+        consumer.twins[twin(ref)] = ref
+    consumer.outbox = deque(_out_in(out, consumer, peers, gateway) for out in one.outbox)
+    flight = [(number, _out_in(out, consumer, peers, gateway)) for number, out in one.flight]
+    for batch in one.barriers:
+        claims = [Claim(_trigger_in(told, peers, gateway), at) for told, at in batch]
+        for claim in claims:
+            consumer.waits_again(claim.trigger.ref)  # type: ignore[arg-type]
+        consumer.barriers.append(claims)
+    consumer.flight = OrderedDict(flight)
+    if one.fd < 0:
+        consumer._lost_publishing()
+        return
+    session = consumer.connected()
+    session.out.clear()
+    session.state, session.channels = "ready", dict(one.channels)
+    session.frame_max = session.wire.decoder.most = one.frame_max
+    session.heartbeat_s, session.channel_max = one.heartbeat_s, one.channel_max
+    session.can_block, session.can_confirm = one.can_block, one.can_confirm
+    consumer._confirming, consumer.up, consumer._told = one.confirming, one.up, one.told
+    consumer.blocked, consumer.paused = one.blocked, one.paused
+    consumer.seq, consumer.since = one.seq, one.since
+
+
+def _out_in(one: OutState, consumer: Consumer, peers: dict[tuple[str, str], Peer], gateway: Gateway) -> Out:
+    ref = _ref_in(one.ref, peers, gateway) if one.ref else None
+    assert ref is None or isinstance(ref, AmqpRef)
+    if ref:
+        consumer.twins[twin(ref)] = ref
+    return Out(one.kind, one.exchange, one.key, one.properties, one.body, ref, one.tries, one.returned)
+
+
+def _ref_in(one: RefState, peers: dict[tuple[str, str], Peer], gateway: Gateway) -> Ref | AmqpRef:
+    if one.kind == "amqp" and (consumer := peers.get((one.kind, one.name))):
+        amqp = AmqpRef(
+            (consumer, one.generation),
+            one.id,
+            one.reply,
+            one.correlation or "",
+            one.key,
+            bool(one.qos),
+            one.acked,
+        )
+        amqp.also = [_ref_in(also, peers, gateway) for also in one.also]  # type: ignore[misc]
+        return amqp
     peer = peers.get((one.kind, one.name)) or gateway.nobody()
     ref = Ref(
         one.version, (peer, one.generation), one.id, one.qos, one.reply, one.correlation, one.key, one.acked
@@ -565,12 +722,28 @@
                 s.adopt(connection, one.up)
                 if one.connection.unsent:
                     connection.stream.write(one.connection.unsent)
+    for told in state.amqp:
+        for link in gateway.amqp:
+            if link.link.name == told.name and told.fd >= 0:
+                _amqp_adopt(link, told, fds)
     for job in state.jobs:
         _job_in(gateway, job, fds)
     for fd in fds:
         os.close(fd)
 
 
+def _amqp_adopt(link: AmqpLink, one: AmqpState, fds: list[int]) -> None:
+    sock = socket.socket(fileno=os.dup(fds[one.fd]))
+    sock.setblocking(False)
+    stream = IOStream(sock, max_write_buffer_size=link.link.waiting_out)
+    link.adopt(stream)
+    if one.unsent:
+        stream.write(one.unsent)
+    session = link.consumer.session
+    if one.pending and session:
+        link._take(session, one.pending)
+
+
 def _job_in(gateway: Gateway, one: JobState, fds: list[int]) -> None:
     link = gateway.link
     job = link.job_again(
--- a/swiftwell/proof/days.py
+++ b/swiftwell/proof/days.py
@@ -50,7 +50,7 @@
     name: str = setting(arg=True, low=1, doc="name")
     rate: float = setting(low=0.01, high=10_000, doc="calls a second")
     clients: int = setting(4, low=1, high=5_000, doc="connections")
-    via: str = setting("endpoint", choice=("endpoint", "broker"), doc="where they connect")
+    via: str = setting("endpoint", choice=("endpoint", "broker", "amqp"), doc="where they connect")
     version: str = setting("5.0", choice=("5.0", "3.1.1"), doc="protocol version")
     retries: int = setting(2, low=0, high=10, doc="tries after the first")
     leave: float = setting(0.0, low=0, high=1, doc="share whose publisher leaves before the answer")
@@ -75,7 +75,7 @@
         arg=True,
         choice=("hang", "pause", "slow", "full", "mute", "reset", "die-after", "twice", "large", "refuse",
         "die",
-                "drain", "store", "list", "broker", "kill-gateway", "restart", "upgrade"),
+                "drain", "store", "list", "broker", "amqp", "kill-gateway", "restart", "upgrade"),
         doc="what",
     )  # fmt: skip
     at: float = setting(low=0, doc="s after the start")
@@ -86,7 +86,8 @@
     one_by_one_s: float = setting(0.0, low=0, doc="s between them; 0 is all at once")
     times: float = setting(5.0, low=1, doc="slow: times slower")
     band: str = setting("", doc="full: the class that is turned away; none is all")
-    fault: str = setting("", doc="store, list, broker: which of its faults")
+    fault: str = setting("", doc="store, list, broker, amqp: which of its faults")
+    lose_s: float = setting(0.0, low=0, doc="amqp restart: s of whose acknowledgements nothing is kept")
     keep: bool = setting(True, doc="broker: sessions are kept; restart: the books are")
     gateway: int = setting(0, low=0, doc="kill-gateway, restart, upgrade: which")
     count: int = setting(1, low=1, high=10_000, doc="upgrade: so many, `one-by-one-s` apart; times the scale")
@@ -129,6 +130,7 @@
     saved_wrong: float = setting(
         0.0, low=0, high=1, doc="saved: part of its entries drained, replaced or moved since"
     )
+    amqp: str = setting("", doc="settings added to each gateway's `amqp-broker` node")
     margin_ms: int = setting(300, low=0, doc="ms that gateways keep back from each call")
     settings: str = setting("", doc="nodes added to each gateway's `workers` block")
     classes: tuple[DayClass, ...] = setting(node="class", doc="a class of calls")
@@ -217,6 +219,7 @@
     broker: str,
     health: int = 0,
     file: str = "",
+    amqp: str = "",
 ) -> str:
     """The settings document of one gateway on this day."""
     lines = [
@@ -252,6 +255,13 @@
     if broker:
         share = f" share={_quoted(day.share)}" if day.share else ""
         lines.append(f'mqtt-broker "estate"{share} {{ address {_quoted(broker)} }}')
+    if amqp:
+        lines.append(f'amqp-broker "plant" {day.amqp} {{')
+        lines.append(f"    address {_quoted(amqp)}")
+        lines.append(
+            '    queue "calls" exchange="calls" max-priority=9 dead-letter="dead"; dead-letter "dead"'
+        )
+        lines.append("}")
     lines.append('log format="json"')
     lines.append(f"health port={health}")
     return "\n".join(lines) + "\n"
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from swiftwell import interface as io
+from swiftwell.fronts.amqp.redelivery import Redelivered
 from swiftwell.fronts.reading import FunctionHint
 from swiftwell.settings.document import Node, Problem, SettingsError, parse
 from swiftwell.settings.schema import Reader, setting
@@ -162,6 +163,47 @@
     open_calls: int = setting(10_000, low=1, high=1_000_000, doc="its triggers without an answer")
 
 
+@dataclass(frozen=True, kw_only=True)
+class AmqpQueue:
+    """A queue that triggers come from."""
+
+    name: str = setting(arg=True, low=1, high=255, doc="name of the queue")
+    declare: bool = setting(True, doc="make it where it is not there; else it must be there")
+    durable: bool = setting(True, doc="it outlives a restart of the broker")
+    exchange: str = setting("", low=0, high=255, doc="exchange that it is bound to; none: written to by name")
+    exchange_type: str = setting("topic", choice=("topic", "direct", "fanout"), doc="type of the exchange")
+    key: tuple[str, ...] = setting((), doc="routing keys that it is bound by; none is all")
+    dead_letter: str = setting("", low=0, high=255, doc="exchange for what the broker drops, as it is made")
+    max_priority: int = setting(0, low=0, high=255, doc="priorities that it knows, as it is made; 0 is none")
+
+
+@dataclass(frozen=True, kw_only=True)
+class AmqpBroker:
+    """An AMQP 0-9-1 broker that brings triggers."""
+
+    name: str = setting(arg=True, low=1, doc="name, for the log")
+    address: tuple[str, ...] = setting(doc="HOST:PORT, one or several that are tried in turn")
+    queues: tuple[AmqpQueue, ...] = setting(node="queue", doc="a queue that triggers come from")
+    vhost: str = setting("/", low=1, high=255, doc="virtual host")
+    username: str = setting("guest", doc="user name")
+    password: str = setting("guest", doc="password")
+    heartbeat_s: int = setting(30, low=1, high=3_600, doc="s between heartbeats that we ask for")
+    frame_bytes: int = setting(131_072, low=4_096, high=1 << 24, doc="bytes of a frame that we ask for")
+    body_bytes: int = setting(262_144, low=1, high=1 << 28, doc="bytes of a trigger at most")
+    prefetch_least: int = setting(1, low=1, high=65_535, doc="unanswered triggers that we hold at least")
+    prefetch_most: int = setting(2_000, low=1, high=65_535, doc="and at most; equal to the least it is fixed")
+    redelivered: str = setting(
+        "known",
+        choice=tuple(one.value for one in Redelivered),
+        doc="triggers with effects that were delivered before: run what is known not to have run, or never",
+    )
+    dead_letter: str = setting("", low=0, high=255, doc="exchange for what can't be read, with the reason")
+    unroutable: str = setting("", low=0, high=255, doc="queue for answers whose reply queue is gone")
+    waiting_answers: int = setting(10_000, low=1, high=1_000_000, doc="answers that may wait for the broker")
+    waiting_bytes: int = setting(1 << 24, low=1 << 16, high=1 << 30, doc="bytes that may wait for it")
+    open_calls: int = setting(10_000, low=1, high=1_000_000, doc="its triggers without an answer")
+
+
 @dataclass(frozen=True, kw_only=True)
 class LedgerSettings:
     """The ledger of effects."""
@@ -220,6 +262,7 @@
     workers: Workers = setting(Workers, doc="where calls run")
     listener: Listener | None = setting(None, node="mqtt-listener", doc="the MQTT endpoint")
     brokers: tuple[Broker, ...] = setting((), node="mqtt-broker", doc="an MQTT broker that brings triggers")
+    amqp: tuple[AmqpBroker, ...] = setting((), node="amqp-broker", doc="an AMQP broker that brings triggers")
     ledger: LedgerSettings = setting(LedgerSettings, doc="the ledger of effects")
     log: LogSettings = setting(LogSettings, doc="the log")
     health: Health | None = setting(None, doc="the page for health and figures")
@@ -323,6 +366,7 @@
     _twice(reader, "class", [(one.name, one) for one in site.classes])
     _twice(reader, "kind", [(one.name, one) for one in site.kinds])
     _twice(reader, "mqtt-broker", [(one.name, one) for one in site.brokers])
+    _twice(reader, "amqp-broker", [(one.name, one) for one in site.amqp])
     _twice(reader, "worker", [(one.address, one) for one in site.workers.worker])
     kinds = {kind.name for kind in site.kinds}
     for worker in site.workers.worker:
@@ -340,8 +384,11 @@
             reader.wrong(reader.line(site.workers.list), "list wants servers, HOST:PORT of each")
     for broker in site.brokers:
         _addresses(reader, reader.line(broker), f"mqtt-broker {broker.name}", broker.address)
-    if site.listener is None and not site.brokers:
-        reader.wrong(1, "nothing brings calls: an `mqtt-listener` or an `mqtt-broker` is expected")
+    for amqp in site.amqp:
+        _amqp(reader, amqp)
+    if site.listener is None and not site.brokers and not site.amqp:
+        text = "nothing brings calls: an `mqtt-listener`, an `mqtt-broker` or an `amqp-broker` is expected"
+        reader.wrong(1, text)
     if site.listener and site.listener.waiting_bytes < site.workers.answer_bytes + 65_536:
         reader.wrong(
             reader.line(site.listener),
@@ -351,6 +398,25 @@
         reader.wrong(1, f"position {site.position} wants to be below gateways, {site.gateways}")
 
 
+def _amqp(reader: Reader, one: AmqpBroker) -> None:
+    line, name = reader.line(one), f"amqp-broker {one.name}"
+    _addresses(reader, line, name, one.address or ())
+    _twice(reader, f"{name}: queue", [(queue.name, queue) for queue in one.queues or ()])
+    if not one.queues:
+        reader.wrong(line, f"{name}: no queue: at least one `queue NAME` is expected")
+    if one.prefetch_least > one.prefetch_most:
+        reader.wrong(line, f"{name}: prefetch-least is beyond prefetch-most")
+    for queue in one.queues or ():
+        if not queue.declare and (queue.exchange or queue.dead_letter or queue.max_priority):
+            reader.wrong(
+                reader.line(queue),
+                f"{name}: queue {queue.name} is not made here (declare false), so it takes no exchange, "
+                "dead-letter or max-priority",
+            )
+        if queue.key and not queue.exchange:
+            reader.wrong(reader.line(queue), f"{name}: queue {queue.name} has keys, and no exchange for them")
+
+
 def read(text: str, file: str) -> Site:
     """A document as the settings of a site; raises SettingsError with everything that is wrong."""
     nodes = parse(text, file)
--- /dev/null
+++ b/tests/test_amqp.py
@@ -0,0 +1,644 @@
+"""AMQP through real sockets: the stand-in broker, gateways that consume, publishers; what goes wrong."""
+
+import asyncio
+import json
+import subprocess
+import sys
+import textwrap
+import time
+from contextlib import AsyncExitStack
+
+import pytest
+from amqpbench import Asker, broker, consuming, node, up
+from socketbench import Console, gateway, http, raw_worker, run, serving
+
+from swiftwell.fronts.amqp import codec
+from swiftwell.fronts.amqp.client import Client, Refused, trigger
+from swiftwell.fronts.amqp.codec import Properties
+from swiftwell.standins.amqp import AmqpBroker
+
+
+async def slow(number, head, reader, writer):
+    await asyncio.sleep(0.3)
+    writer.write(http(b"%d" % number))
+
+
+def keyed(calls, answer=serving):
+    """A worker that notes each call's key."""
+
+    async def serve(number, head, reader, writer):
+        calls.append(next(x[15:] for x in head.split("\r\n") if x.startswith("swiftwell-key")))
+        return await answer(number, head, reader, writer)
+
+    return serve
+
+
+def unacked(server):
+    return sum(len(ch.unacked) for connection in server.connections for ch in connection.channels.values())
+
+
+async def settle(check, within=5.0):
+    for _ in range(int(within * 100)):
+        if check():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("it did not come to be")
+
+
+def test_calls_of_each_class_are_served_and_acknowledged(tmp_path):
+    async def main():
+        async with broker() as b, raw_worker(serving) as w, consuming(tmp_path, b.port, [w]) as gw:
+            asker = await Asker().connect(b.port)
+            assert await asker.call("lectura") == ("served", "ok")
+            assert await asker.call("consigna", "k") == ("served", "ok")
+            assert await asker.call("consigna", "k") == ("served", "ok")  # told again, not run again
+            assert await asker.call("nope") == ("refused", "unknown-class")
+            assert gw.engine.counts["told"] == 1
+            await settle(lambda: not unacked(b) and not any(queue.ready for queue in b.queues.values()))
+
+    run(main())
+
+
+def test_one_key_over_both_fronts_runs_once(tmp_path):
+    async def main():
+        calls = []
+        async with (
+            broker() as b,
+            raw_worker(keyed(calls, slow)) as w,
+            consuming(tmp_path, b.port, [w]) as gw,
+        ):
+            asker, console = await Asker().connect(b.port), await Console().connect(gw.listener_port)
+            over_amqp = asker.publish("consigna", "valve-7")
+            over_mqtt = console.publish("consigna", "valve-7")
+            assert await asker.answer(over_amqp) == ("served", "ok")
+            assert await console.answer(over_mqtt) == ("served", "ok")
+            # And later, on either; a redelivery as well.
+            assert await console.call("consigna", "valve-7") == ("served", "ok")
+            assert await asker.call("consigna", "valve-7") == ("served", "ok")
+            assert await asker.call("consigna", "valve-7", body=b"other") == ("refused", "key-reused")
+            assert calls == ["valve-7"]
+
+    run(main())
+
+
+@pytest.mark.parametrize("gateways", [1, 2])
+def test_a_gateway_killed_with_triggers_in_hand_leaves_them_to_the_other(tmp_path, gateways):
+    """Process death as the broker sees it: the connection ends, without a word."""
+
+    async def main():
+        calls = []
+        extra = f"gateways {gateways}\n"
+        async with (
+            broker() as b,
+            raw_worker(keyed(calls, slow)) as w,
+            consuming(tmp_path / "one", b.port, [w], extra=extra) as one,
+        ):
+            asker = await Asker().connect(b.port)
+            await asyncio.sleep(0.1)
+            # The broker gives, and never hears that the effect was acknowledged.
+            asks = [asker.publish("lectura"), asker.publish("consigna", "unsafe")]
+            link = one.amqp[0]
+            link._flush = lambda: None  # nothing goes out any more: the claim never reaches the broker
+            await settle(lambda: unacked(b) == 2)
+            await asyncio.sleep(0.1)
+            assert "unsafe" not in calls  # not run before the broker knows
+            link._closing = True
+            link.stream.close()
+            async with consuming(tmp_path / "two", b.port, [w], extra=extra):
+                assert (await asker.answer(asks[0]))[0] in ("served", "refused")  # known to the second now
+                kind = await asker.answer(asks[1])
+                # Its own broker connection is young: it can't know that no acknowledgement was lost.
+                assert (kind == ("failed", "may-have-run")) is (gateways == 2), kind
+                assert calls.count("unsafe") <= 1
+
+    run(main())
+
+
+def test_a_trigger_delivered_again_over_a_link_that_stood_all_along_is_run(tmp_path):
+    async def main():
+        calls = []
+        async with broker() as b, raw_worker(keyed(calls)) as w:
+            holder = Client("holder")  # a gateway that dies with a trigger in hand
+            async with consuming(tmp_path, b.port, [w], extra="gateways 2\n") as gw:
+                gw.amqp[0].consumer.since -= 3_600
+                asker = await Asker().connect(b.port)
+                gw.amqp[0].consumer.session.send(1, codec.Cancel("b-0"))
+                gw.amqp[0]._flush()
+                await holder.connect("127.0.0.1", b.port)
+                await holder.ask(codec.Consume(0, "calls", "held"))
+                corr = asker.publish("consigna", "k")
+                await settle(lambda: unacked(b) == 1)
+                gw.amqp[0].consumer.session.send(1, codec.Consume(0, "calls", "b-0"))
+                gw.amqp[0]._flush()
+                holder.drop()
+                assert await asker.answer(corr) == ("served", "ok")
+                assert calls == ["k"] and gw.amqp[0].consumer.counts.redelivered == 1
+
+    run(main())
+
+
+def test_a_broker_that_crashes_and_forgets_acknowledgements_doubles_nothing(tmp_path):
+    async def main():
+        calls = []
+        async with (
+            broker() as b,
+            raw_worker(keyed(calls)) as w,
+            consuming(tmp_path / "a", b.port, [w], extra="gateways 2\n"),
+            consuming(tmp_path / "b", b.port, [w], extra="gateways 2\nposition 1\n"),
+        ):
+            asker = await Asker().connect(b.port)
+            for number in range(20):
+                assert await asker.call("consigna", f"k{number}") == ("served", "ok")
+            assert len(calls) == 20
+            b.fault("restart", for_s=0.2, lose_s=5.0)
+            await settle(lambda: len(b.queues["calls"].ready) == 20)
+            # All twenty come again, to either gateway; each is answered, none is run.
+            await settle(
+                lambda: not b.queues["calls"].ready and not unacked(b) and len(b.connections) >= 2, 15
+            )
+            await asyncio.sleep(0.3)
+            assert sorted(calls) == sorted(f"k{number}" for number in range(20))
+
+    run(main())
+
+
+def test_a_channel_error_in_mid_burst_loses_and_doubles_nothing(tmp_path):
+    async def main():
+        calls = []
+
+        async def busy(number, head, reader, writer):
+            await asyncio.sleep(0.05)
+            writer.write(http())
+
+        async with AsyncExitStack() as stack:
+            b = await stack.enter_async_context(broker())
+            workers = [await stack.enter_async_context(raw_worker(keyed(calls, busy))) for _ in range(6)]
+            await stack.enter_async_context(
+                consuming(tmp_path, b.port, workers, more="prefetch-least=40 prefetch-most=40")
+            )
+            asker, asks = await Asker().connect(b.port), []
+            for number in range(40):
+                asks.append(asker.publish("consigna" if number % 2 else "lectura", f"k{number}", 2_900))
+                await asyncio.sleep(0.015)
+                if number == 20:
+                    b.fault("channel_error")
+            kinds = [(await asker.answer(corr, 8))[0] for corr in asks]
+            unsafe = [key for key in calls if int(key[1:]) % 2]
+            assert len(unsafe) == len(set(unsafe))
+            assert set(kinds) <= {"served", "refused", "failed"} and kinds.count("served") >= 10
+            await asyncio.sleep(0.3)
+            assert all(len(told) == 1 for told in asker.answers.values())
+
+    run(main())
+
+
+def test_a_lost_heartbeat_with_calls_in_flight_ends_the_link_and_the_answers_come_over_the_next(tmp_path):
+    async def main():
+        async with (
+            broker() as b,
+            raw_worker(slow) as w,
+            consuming(tmp_path, b.port, [w], more="heartbeat-s=1") as gw,
+        ):
+            asker = Asker()
+            asker.client._login = type(asker.client._login)("asker", heartbeat_s=0)
+            await asker.connect(b.port)
+            first = gw.amqp[0].stream
+            corr = asker.publish("lectura", timeout=2_900)
+            await settle(lambda: unacked(b) == 1)
+            # The broker goes silent towards the gateway: reads nothing, writes nothing.
+            for connection in b.connections:
+                if connection.name == "gw":
+                    connection.write = lambda data: None
+            await settle(lambda: gw.amqp[0].stream is not first and gw.amqp[0].consumer.up, 8)
+            assert "nothing was heard for two heartbeats" in gw.lines.getvalue()
+            assert await asker.answer(corr) == ("served", "ok")
+            await settle(lambda: not unacked(b))
+
+    run(main())
+
+
+def test_blocked_publications_hold_answers_and_an_effect_is_kept_in_the_ledger(tmp_path):
+    async def main():
+        calls = []
+        async with (
+            broker() as b,
+            raw_worker(keyed(calls)) as w,
+            consuming(tmp_path, b.port, [w], more="waiting-answers=4") as gw,
+        ):
+            asker = await Asker().connect(b.port)
+            assert await asker.call("consigna", "first") == ("served", "ok")
+            b.fault("alarm", for_s=1.5)
+            await settle(lambda: gw.amqp[0].consumer.blocked)
+            # The stand-in still takes what publishers send; a real one would make them wait.
+            asks = [asker.publish("consigna", f"k{n}", 2_900) for n in range(8)]
+            await settle(lambda: len(gw.amqp[0].consumer.outbox) >= 4)
+            assert not asker.answers.keys() & set(asks)
+            assert "published-blocked" not in {
+                event["ev"] for event in b.trace.kept if event.get("client") == "gw"
+            }
+            kinds = [await asker.answer(corr, 8) for corr in asks]
+            assert {kind for kind, _ in kinds} <= {"served", "refused"}
+            assert ("refused", "answers-blocked") in kinds or len(calls) == 9
+            # What was refused did not run, and a retry is harmless.
+            for number, kind in enumerate(kinds):
+                assert (f"k{number}" in calls) is (kind[0] == "served")
+            assert await asker.call("consigna", "first") == ("served", "ok")
+            assert calls.count("first") == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize("prefetch", [1, 65_535])
+def test_prefetch_of_one_and_of_all(tmp_path, prefetch):
+    async def main():
+        async with (
+            broker() as b,
+            raw_worker(serving) as w,
+            consuming(
+                tmp_path, b.port, [w], more=f"prefetch-least={prefetch} prefetch-most={prefetch}"
+            ) as gw,
+        ):
+            asker = await Asker().connect(b.port)
+            asks = [asker.publish("consigna" if n % 3 == 0 else "lectura", timeout=2_900) for n in range(40)]
+            most = 0
+            for corr in asks:
+                await asker.answer(corr, 8)
+                most = max(most, unacked(b))
+            assert most <= prefetch
+            assert gw.amqp[0].consumer.prefetch.limit == prefetch
+
+    run(main())
+
+
+def test_a_storm_of_5000_redeliveries_after_a_broker_restart(tmp_path):
+    async def main():
+        gate = asyncio.Event()
+        calls = []
+
+        async def hold(number, head, reader, writer):
+            await gate.wait()
+            writer.write(http())
+
+        more = "prefetch-least=5000 prefetch-most=5000"
+        async with (
+            broker() as b,
+            raw_worker(keyed(calls, hold)) as w,
+            consuming(tmp_path, b.port, [w], more=more) as gw,
+        ):
+            asker = await Asker().connect(b.port)
+            for number in range(5_000):
+                asker.publish("lectura", f"k{number}", timeout=60_000, reply="kept")
+            await settle(lambda: unacked(b) == 5_000, 20)
+            await settle(lambda: gw.engine.counts["calls"] == 5_000, 10)
+            open_before = gw.engine.counts["calls"]
+            b.fault("restart", for_s=0.2)
+            await settle(lambda: gw.amqp[0].consumer.counts.redelivered >= 4_000, 25)
+            # Those whose call is still open joined it; none was taken as a new call.
+            counts = gw.amqp[0].consumer.counts
+            assert counts.twins == counts.redelivered and gw.engine.counts["calls"] == open_before
+            gate.set()
+
+    run(main())
+
+
+def test_bodies_in_frames_of_one_byte(tmp_path):
+    async def main():
+        async def echo(number, head, reader, writer):
+            writer.write(http(b"y" * 500))
+
+        async with broker() as b, raw_worker(echo) as w, consuming(tmp_path, b.port, [w]):
+            b.pieces = 1
+            asker = await Asker().connect(b.port)
+            corr = asker.publish("consigna", "k", body=b"x" * 2_000)
+            assert await asker.answer(corr) == ("served", "ok")
+            assert asker.answers[corr][0]["body"] == b"y" * 500
+
+    run(main())
+
+
+def test_a_frame_larger_than_agreed_ends_the_connection_and_the_link_comes_back(tmp_path):
+    async def main():
+        async with (
+            broker() as b,
+            raw_worker(serving) as w,
+            consuming(tmp_path, b.port, [w], more="frame-bytes=4096 body-bytes=100000") as gw,
+        ):
+            asker = await Asker().connect(b.port)
+            assert await asker.call(body=b"x" * 20_000) == ("served", "ok")  # in several frames
+            for connection in b.connections:
+                if connection.name == "gw":
+                    connection.write(codec._frame(codec.BODY, 1, bytes(5_000)))
+            await up(gw, False)
+            await up(gw)
+            assert "frame_error" in gw.lines.getvalue()
+            assert await asker.call() == ("served", "ok")
+            corr = asker.publish(body=b"x" * 100_001)
+            assert await asker.answer(corr) == ("refused", "malformed")
+
+    run(main())
+
+
+def test_a_tag_acknowledged_twice_is_an_error_of_the_channel():
+    async def main():
+        async with broker() as b:
+            client = Client("twice")
+            await client.connect("127.0.0.1", b.port)
+            await client.ask(codec.QueueDeclare(0, "q"))
+            await client.ask(codec.Consume(0, "q", "c"))
+            client.publish("", "q", Properties(), b"x")
+            await settle(lambda: unacked(b) == 1)
+            for _ in range(2):
+                client.session.send(1, codec.Ack(1))
+            client._flush(client.connection)
+            await settle(lambda: client.connection is None)
+            assert "406" in client._why and "unknown delivery tag 1" in client._why
+
+    run(main())
+
+
+def test_expired_in_the_queue_and_on_arrival(tmp_path):
+    async def main():
+        calls = []
+        async with broker() as b, raw_worker(keyed(calls)) as w:
+            asker = await Asker().connect(b.port)
+            async with consuming(tmp_path, b.port, [w]):
+                pass  # the queue is there now, and nobody consumes it
+            asker.publish("consigna", "queue", timeout=100)
+            late = Properties(
+                headers={"key": "late", "timeout-ms": 1_000, "sent-ms": time.time() * 1e3 - 9_000},
+                correlation_id="late",
+                reply_to=asker.reply,
+            )
+            asker.client.publish("calls", "calls.t.consigna.f", late, b"x")
+            await asyncio.sleep(0.4)
+            async with consuming(tmp_path, b.port, [w]):
+                assert await asker.answer("late") == ("refused", "no-time-left")
+                assert await asker.call("consigna", "good") == ("served", "ok")
+            assert calls == ["good"]
+            assert [e["corr"] for e in b.trace.kept if e["ev"] == "expired"] == ["q1"]
+
+    run(main())
+
+
+@pytest.mark.parametrize("hour", [3_600_000, -3_600_000])
+def test_a_publishers_clock_an_hour_off_costs_it_nothing(tmp_path, hour):
+    async def main():
+        async with broker() as b, raw_worker(serving) as w, consuming(tmp_path, b.port, [w]):
+            asker = await Asker().connect(b.port)
+            kinds = []
+            for _ in range(5):
+                kinds.append(await asker.call(sent_ms=time.time() * 1e3 + hour))
+            # One clock that is far behind may be a message long queued: three that agree tell the clock.
+            assert kinds[-1] == ("served", "ok") and {kind for kind, _ in kinds} <= {"served", "refused"}
+
+    run(main())
+
+
+def test_what_can_not_be_read_stands_in_the_dead_letters_with_its_reason(tmp_path):
+    async def main():
+        queue = '"calls" exchange="calls" dead-letter="dropped"; dead-letter "dead"'
+        async with broker() as b, raw_worker(serving) as w, consuming(tmp_path, b.port, [w], queue=queue):
+            reader, got = Client("reader", on_message=lambda event: got.append(event)), []
+            await reader.connect("127.0.0.1", b.port)
+            await reader.ask(codec.QueueDeclare(0, "letters"))
+            await reader.ask(codec.QueueBind(0, "letters", "dead", "#"))
+            await reader.ask(codec.Consume(0, "letters", "c", no_ack=True))
+            asker = await Asker().connect(b.port)
+            corr = asker.publish(to="calls.t.lectura")
+            assert await asker.answer(corr) == ("refused", "malformed")
+            await settle(lambda: got)
+            headers = got[0].properties.headers
+            assert "the routing key is not" in headers["x-swiftwell-reason"]
+            assert headers["x-swiftwell-routing-key"] == "calls.t.lectura" and got[0].body == b"x"
+            await settle(lambda: not unacked(b))
+
+    run(main())
+
+
+def test_an_asker_that_is_gone_is_told_in_the_log_and_its_answer_kept(tmp_path):
+    async def main():
+        queue = '"calls" exchange="calls"; unroutable "unasked"'
+        async with broker() as b, raw_worker(slow) as w, consuming(tmp_path, b.port, [w], queue=queue) as gw:
+            asker = await Asker().connect(b.port)
+            await asker.client.ask(codec.QueueDeclare(0, "unasked", durable=True))
+            asker.publish("consigna", "k")
+            await settle(lambda: gw.engine.counts["calls"] == 1)
+            asker.client.drop()
+            await settle(lambda: len(b.queues["unasked"].ready) == 1)
+            assert b.queues["unasked"].ready[0].properties.headers["x-swiftwell-reply-to"] == asker.reply
+            assert "answer-unroutable" in gw.lines.getvalue()
+            again = await Asker().connect(b.port)
+            assert await again.call("consigna", "k") == ("served", "ok")  # and the ledger has it
+
+    run(main())
+
+
+def test_queues_that_are_not_there_and_that_are_deleted(tmp_path):
+    async def main():
+        async with broker() as b, raw_worker(serving) as w:
+            queue = '"made" declare=false'
+            async with gateway(tmp_path, [w], extra=node(b.port, queue=queue)) as gw:
+                await settle(lambda: "no queue 'made'" in gw.lines.getvalue())
+                asker = await Asker().connect(b.port)
+                await asker.client.ask(codec.QueueDeclare(0, "made", durable=True))
+                await up(gw)
+                corr = asker.publish(to="made", exchange="", tenant="t", function="f", **{"class": "lectura"})
+                assert await asker.answer(corr) == ("served", "ok")
+                b.fault("delete", queue="made")
+                await up(gw, False)
+                await asker.client.ask(codec.QueueDeclare(0, "made", durable=True))
+                await up(gw)
+                corr = asker.publish(to="made", exchange="", tenant="t", function="f", **{"class": "lectura"})
+                assert await asker.answer(corr) == ("served", "ok")
+
+    run(main())
+
+
+def test_a_broker_that_is_away_wrong_or_refuses(tmp_path):
+    async def main():
+        async def garbage(reader, writer):
+            await reader.read(8)
+            writer.write(b"AMQP\0\1\0\0")
+            await asyncio.sleep(0.1)
+            writer.close()
+
+        async with broker(users={"gw": "secret"}) as b, raw_worker(serving) as w:
+            other = await asyncio.start_server(garbage, "127.0.0.1", 0)
+            addresses = f'address "127.0.0.1:1" "127.0.0.1:{other.sockets[0].getsockname()[1]}"'
+            addresses += f' "127.0.0.1:{b.port}"'
+            for password, good in (("wrong", False), ("secret", True)):
+                extra = f'amqp-broker "b" username="gw" password="{password}" {{ {addresses}; queue "q" }}'
+                async with gateway(tmp_path, [w], extra=extra) as gw:
+                    if good:
+                        await up(gw)  # the third address, after two that fail
+                    else:
+                        await settle(lambda gw=gw: "the login was refused" in gw.lines.getvalue(), 8)
+                    text = gw.lines.getvalue()
+                    assert "no connection" in text and "not 0-9-1" in text
+                    assert "wrong" not in text and "secret" not in text
+            other.close()
+            with pytest.raises(Refused, match="login was refused"):
+                await Client("x", username="gw", password="no").connect("127.0.0.1", b.port)
+
+    run(main())
+
+
+def test_priorities_go_first(tmp_path):
+    async def main():
+        calls = []
+        queue = '"calls" exchange="calls" max-priority=9'
+        async with broker() as b, raw_worker(keyed(calls)) as w:
+            async with consuming(tmp_path, b.port, [w], queue=queue):
+                pass
+            asker = await Asker().connect(b.port)
+            for number, priority in enumerate([0, 0, 0, 5, 9, 200]):
+                properties = trigger(f"{number}", asker.reply, f"p{number}", 2_900)
+                properties.priority = priority
+                asker.client.publish("calls", "calls.t.lectura.f", properties, b"x")
+            await settle(lambda: len(b.queues["calls"].ready) == 6)
+            async with consuming(tmp_path, b.port, [w], more="prefetch-least=1 prefetch-most=1", queue=queue):
+                for number in range(6):
+                    await asker.answer(f"p{number}")
+            assert calls == ["4", "5", "3", "0", "1", "2"]
+
+    run(main())
+
+
+# An independent peer, in a process of its own.
+
+PIKA = """
+import json, sys
+import pika
+
+port, name = int(sys.argv[1]), sys.argv[2]
+connection = pika.BlockingConnection(pika.ConnectionParameters("127.0.0.1", port, heartbeat=5))
+channel = connection.channel()
+channel.confirm_delivery()
+reply = channel.queue_declare("", exclusive=True).method.queue
+got = []
+def message(ch, method, properties, body):
+    got.append([properties.correlation_id, properties.headers["status"], body.decode()])
+channel.basic_consume(reply, message, auto_ack=True)
+for n in range(20):
+    band = "consigna" if n % 2 else "lectura"
+    properties = pika.BasicProperties(
+        headers={"key": f"{name}-{n}", "timeout-ms": 2800}, correlation_id=str(n), reply_to=reply,
+        delivery_mode=2, expiration="2800",
+    )
+    channel.basic_publish("calls", f"calls.t.{band}.f", b"in", properties, mandatory=True)
+try:
+    channel.basic_publish("", "nowhere", b"x", mandatory=True)
+    unroutable = False
+except pika.exceptions.UnroutableError:
+    unroutable = True
+for _ in range(500):
+    if len(got) >= 20: break
+    connection.process_data_events(0.02)
+connection.close()
+print(json.dumps({"got": sorted(got, key=lambda g: int(g[0])), "unroutable": unroutable}))
+"""
+
+
+async def pika(port, name):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", textwrap.dedent(PIKA), str(port), name, stdout=subprocess.PIPE
+    )
+    out, _ = await process.communicate()
+    assert process.returncode == 0
+    return json.loads(out)
+
+
+def test_pika_publishes_through_the_whole_path(tmp_path):
+    async def main():
+        async with broker() as b, raw_worker(serving) as w, consuming(tmp_path, b.port, [w]):
+            for told in await asyncio.gather(*(pika(b.port, f"p{n}") for n in range(3))):
+                assert [g[0] for g in told["got"]] == [str(n) for n in range(20)]
+                kinds = [g[1] for g in told["got"]]
+                assert set(kinds) <= {"served", "refused"} and kinds.count("served") >= 10
+                assert told["unroutable"] is True
+
+    run(main())
+
+
+BROKER = """
+import json, sys
+import pika
+
+connection = pika.BlockingConnection(pika.ConnectionParameters("127.0.0.1", int(sys.argv[1])))
+channel = connection.channel()
+out = {}
+channel.exchange_declare("t", "topic", durable=True)
+channel.exchange_declare("f", "fanout")
+channel.exchange_bind("f", "t", "a.#")
+channel.queue_declare("dead")
+channel.exchange_declare("dlx", "fanout")
+channel.queue_bind("dead", "dlx")
+channel.queue_declare("q", arguments={"x-dead-letter-exchange": "dlx", "x-max-priority": 5})
+channel.queue_bind("q", "f")
+channel.queue_declare("one")
+channel.queue_bind("one", "t", "*.one")
+for n in range(3):
+    channel.basic_publish("t", "a.one", str(n).encode(), pika.BasicProperties(priority=n))
+channel.basic_publish("t", "a.late", b"late", pika.BasicProperties(expiration="1", priority=5))
+connection.sleep(0.3)
+out["counts"] = [channel.queue_declare(n, passive=True).method.message_count for n in ("q", "one", "dead")]
+method, _, body = channel.basic_get("q")
+out["first"] = body.decode()
+channel.basic_nack(method.delivery_tag, requeue=True)
+method, _, body = channel.basic_get("q")
+out["again"] = [body.decode(), method.redelivered]
+channel.basic_reject(method.delivery_tag, requeue=False)
+channel.basic_qos(prefetch_count=1)
+got = []
+channel.basic_consume("q", lambda ch, m, p, b: got.append(b.decode()))
+connection.process_data_events(0.1)
+connection.process_data_events(0.1)
+out["prefetch"] = list(got)
+channel.basic_ack(0, multiple=True)
+connection.process_data_events(0.1)
+out["after"] = list(got)
+channel.basic_recover(requeue=True)
+connection.process_data_events(0.2)
+out["recovered"] = list(got)
+deaths = []
+while True:
+    method, properties, body = channel.basic_get("dead", auto_ack=True)
+    if method is None: break
+    deaths.append([body.decode(), properties.headers["x-death"][0]["reason"]])
+out["deaths"] = sorted(deaths)
+out["purged"] = channel.queue_purge("one").method.message_count
+channel.queue_unbind("one", "t", "*.one")
+channel.queue_delete("one")
+other = connection.channel()
+try:
+    other.queue_declare("one", passive=True)
+except pika.exceptions.ChannelClosedByBroker as error:
+    out["missing"] = error.reply_code
+other = connection.channel()
+try:
+    other.queue_declare("q", durable=True)
+except pika.exceptions.ChannelClosedByBroker as error:
+    out["other"] = error.reply_code
+connection.close()
+print(json.dumps(out))
+"""
+
+
+def test_the_stand_in_broker_is_one_to_pika():
+    async def main():
+        async with broker() as b:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", textwrap.dedent(BROKER), str(b.port), stdout=subprocess.PIPE
+            )
+            out, _ = await process.communicate()
+            assert process.returncode == 0
+            told = json.loads(out)
+            assert told["counts"] == [3, 3, 1]  # one has expired
+            assert told["first"] == "2" and told["again"] == ["2", True]  # by priority; back in its place
+            assert told["prefetch"] == ["1"] and told["after"] == ["1", "0"]
+            assert told["recovered"][-1] == "0"
+            assert told["deaths"] == [["2", "rejected"], ["late", "expired"]]
+            assert told["purged"] == 3 and told["missing"] == 404 and told["other"] == 406
+            assert isinstance(b, AmqpBroker) and not b.connections
+
+    run(main())
