A wait in the broker's queue is no skew; AMQP over the command line and through handovers

The same could happen at an MQTT broker with a full Receive Maximum.

A message teaches a clock only where it can't have waited: where we had room for a quarter of a second before it came.

Three handovers with contents in 100-byte frames: one answer to each, no effect twice, the same connection all along.

--- a/swiftwell/cli/call.py
+++ b/swiftwell/cli/call.py
@@ -10,6 +10,8 @@
 import click
 import msgspec
 
+from swiftwell.fronts.amqp import client as amqp_client
+from swiftwell.fronts.amqp.wire import Incoming
 from swiftwell.fronts.mqtt.client import Client, Refused
 from swiftwell.fronts.mqtt.codec import V5, V311, Publish
 from swiftwell.settings.site import host_port
@@ -26,14 +28,18 @@
 @click.option("--qos", type=click.IntRange(0, 2), default=1, show_default=True)
 @click.option("--version", type=click.Choice(["5.0", "3.1.1"]), default="5.0", show_default=True)
 @click.option("--user", default=None, help="NAME:PASSWORD")
+@click.option("--amqp", is_flag=True, help="ADDRESS is an AMQP broker; TOPIC becomes the routing key.")
+@click.option("--exchange", default="calls", show_default=True, help="With --amqp: where it is published.")
+@click.option("--priority", type=click.IntRange(0, 255), default=0, help="With --amqp: its priority.")
 @click.option("--json", "as_json", is_flag=True, help="Print the answer as one JSON object.")
 def call(
-    address: str, topic: str, payload: str, key: str, timeout_ms: int, qos: int, version: str, user: str |
-    None,
-    as_json: bool,
+    address: str, topic: str, payload: str, key: str, timeout_ms: int, qos: int, version: str,
+    user: str | None, amqp: bool, exchange: str, priority: int, as_json: bool,
 ) -> None:  # fmt: skip
     """Publish one trigger to ADDRESS (HOST:PORT of a gateway or broker) on TOPIC and print the answer.
 
+    TOPIC is calls/TENANT/CLASS/FUNCTION, over either protocol.
+
     The exit code is 0 for served, 3 refused, 4 failed, 5 no answer in time, 1 no connection.
     """
     try:
@@ -41,8 +47,11 @@
     except ValueError as error:
         raise click.BadParameter(str(error), param_hint="ADDRESS") from None
     level = V5 if version == "5.0" else V311
+    key = key or uuid.uuid4().hex
     told = asyncio.run(
-        _call(host, port, topic, payload, key or uuid.uuid4().hex, timeout_ms, qos, level, user)
+        _over_amqp(host, port, topic, payload, key, timeout_ms, user, exchange, priority)
+        if amqp
+        else _call(host, port, topic, payload, key, timeout_ms, qos, level, user)
     )
     code = told.pop("code")
     if as_json:
@@ -119,3 +128,45 @@
     await client.close()
     told.setdefault("code", EXIT.get(str(told.get("status")), 1))
     return told
+
+
+async def _over_amqp(
+    host: str, port: int, topic: str, payload: str, key: str, timeout_ms: int, user: str | None,
+    exchange: str, priority: int,
+) -> dict:  # fmt: skip
+    answer: asyncio.Future[dict] = asyncio.get_running_loop().create_future()
+
+    def settle(told: dict) -> None:
+        if not answer.done():
+            answer.set_result(told)
+
+    def message(event: Incoming) -> None:
+        headers = (event.properties.headers if event.properties else None) or {}
+        told = {name: value for name, value in headers.items() if name != "key"}
+        settle(told | {"body": event.body.decode(errors="replace")})
+
+    def returned(event: Incoming) -> None:
+        settle({"status": "no answer", "reason": "no queue takes it: is a gateway bound to it?", "code": 1})
+
+    name, _, password = (user or "guest:guest").partition(":")
+    client = amqp_client.Client(
+        f"call-{uuid.uuid4().hex[:12]}", on_message=message, on_return=returned,
+        on_end=lambda why: settle({"status": "no answer", "reason": why, "code": 1}),
+        username=name, password=password,
+    )  # fmt: skip
+    try:
+        await client.connect(host, port)
+        reply = await client.reply_queue("")
+    except (amqp_client.Refused, OSError, TimeoutError) as error:
+        return {"status": "no connection", "reason": str(error), "code": 1}
+    properties = amqp_client.trigger(key, reply, key, timeout_ms)
+    properties.priority = priority
+    client.publish(exchange, topic.replace("/", "."), properties, payload.encode())
+    try:
+        told = await asyncio.wait_for(answer, timeout_ms / 1e3)
+    except TimeoutError:
+        told = {"status": "no answer", "reason": f"nothing within {timeout_ms} ms", "code": 5}
+    client._on_end = None
+    await client.close()
+    told.setdefault("code", EXIT.get(str(told.get("status")), 1))
+    return told
--- a/swiftwell/fronts/amqp/consumer.py
+++ b/swiftwell/fronts/amqp/consumer.py
@@ -29,7 +29,7 @@
 from swiftwell.fronts.amqp.session import Blocked, ChannelEnded, Ended, Event, Login, Ready, Session
 from swiftwell.fronts.amqp.wire import Incoming
 from swiftwell.fronts.host import Host
-from swiftwell.fronts.reading import Unreadable
+from swiftwell.fronts.reading import Freshness, Unreadable
 from swiftwell.fronts.trigger import Answer, Kind, Trigger
 from swiftwell.interface import Effect
 
@@ -38,6 +38,7 @@
 TRIES = 8  # publications of one answer that the broker turns down, or that end their channel
 LATER_S, MOST_LATER_S = 0.05, 1.0  # s before the next one: doubled by each, and at most
 TWINS = 20_000  # answered triggers remembered, in case the broker delivers them again
+FULL = 0.9  # of the prefetch: beyond it the queue may have more for us
 AGAIN_S = 1.0  # s before a channel that the broker has closed is opened again
 
 
@@ -145,6 +146,7 @@
         self.resting = False
         self.since = 0.0  # when the connection was made
         self._told = 0  # the prefetch that the broker has
+        self._freshness = Freshness()
         self._ended = 0  # answers since the last look
         self.barriers: deque[list[Claim]] = deque()
         self._batch: list[Claim] = []
@@ -267,6 +269,7 @@
                 for claim in self.barriers.popleft() if self.barriers else ():
                     self._submit(claim.trigger, claim.at)
             case codec.ConsumeOk():
+                self._freshness.full(self._clock())
                 if not self.up:
                     self.up = True
                     self.host.log("info", "broker-up", broker=self.link.name)
@@ -317,18 +320,27 @@
         if self.resting or (self.claimed >= self.prefetch.limit and self.claimed):
             # Claimed ones no longer count for the broker's limit: the rest stays unacknowledged here.
             self.parked.append(event)
+            self._freshness.full(self._clock())
             return
         deliver, properties = event.method, event.properties
         assert isinstance(deliver, codec.Deliver) and properties
         self.counts.deliveries += 1
         self.counts.redelivered += deliver.redelivered
         now = self._clock()
+        if self.open >= FULL * self.prefetch.limit:
+            self._freshness.full(now)
         ref = self.contract.ref(deliver, properties, (self, self.generation), now)
         try:
             if event.too_large:
                 raise Unreadable(f"the body is larger than {self.link.login.most_body} bytes")
             trigger, age_ms = self.contract.read(
-                deliver, properties, event.body, self.source, ref, self.host.wall_ms()
+                deliver,
+                properties,
+                event.body,
+                self.source,
+                ref,
+                self.host.wall_ms(),
+                self._freshness.fresh(now),
             )
         except Unreadable as error:
             self._reject(event, ref, str(error))
--- a/swiftwell/fronts/amqp/contract.py
+++ b/swiftwell/fronts/amqp/contract.py
@@ -63,11 +63,18 @@
         )
 
     def read(
-        self, deliver: Deliver, properties: Properties, body: bytes, source: str, ref: Ref, now_ms: float
+        self,
+        deliver: Deliver,
+        properties: Properties,
+        body: bytes,
+        source: str,
+        ref: Ref,
+        now_ms: float,
+        fresh: bool = True,
     ) -> tuple[Trigger, float | None]:
         """A message as a trigger, and its age in ms where it tells when it was sent; completes `ref`.
 
-        Raises Unreadable.
+        `fresh`: it can't have waited for us at the broker.  Raises Unreadable.
         """
         headers = properties.headers or {}
         if len(headers) > MOST_HEADERS:
@@ -92,8 +99,9 @@
             # A broker does not count its expiration down: it is the publisher's patience, from when it sent.
             given["timeout-ms"], expiry = expiry, None
         message = Message(
-            tenant, band, function, ref.key, body, given, publisher, expiry, deliver.redelivered
-        )
+            tenant, band, function, ref.key, body, given, publisher, expiry, deliver.redelivered,
+            fresh=fresh,
+        )  # fmt: skip
         age = None if sent is None else max(0.0, now_ms - sent)
         return self.reader.trigger(message, source, ref, now_ms), age
 
--- a/swiftwell/fronts/amqp/prefetch.py
+++ b/swiftwell/fronts/amqp/prefetch.py
@@ -11,7 +11,7 @@
 
 TICK_US = 50_000  # us between two looks
 FIRST = 16  # triggers held at the start, and what an idle gateway holds itself ready for
-LINE_S = 0.1  # s: a line of what ends in this time is worth holding
+LINE_S = 0.5  # s: a line of what ends in this time is worth holding; docs/performance.md has 0.1 and 1.0
 LINE_LEAST = 4  # triggers of a line that is held in any case
 GROW = 1.5  # times the limit in a look at which it is used up and nothing waits
 CAREFUL = 0.8  # of the limit at which a line last came up: beyond it, growth is by steps
--- a/swiftwell/fronts/mqtt/contract.py
+++ b/swiftwell/fronts/mqtt/contract.py
@@ -96,15 +96,18 @@
         corr = properties.get("correlation_data")
         return Ref(version, connection, message.id, message.qos, reply, corr, "")
 
-    def read(self, message: Publish, source: str, ref: Ref, now_ms: float) -> Trigger:
-        """A message as a trigger; completes `ref`.  Raises Rejected."""
+    def read(self, message: Publish, source: str, ref: Ref, now_ms: float, fresh: bool = True) -> Trigger:
+        """A message as a trigger; completes `ref`.  `fresh`: it can't have waited for us at a broker.
+
+        Raises Rejected.
+        """
         try:
-            return self._read(message, source, ref, now_ms)
+            return self._read(message, source, ref, now_ms, fresh)
         except Unreadable as error:
             reason = Reason.TOPIC_INVALID if error.address else Reason.PAYLOAD_FORMAT
             raise Rejected(reason, str(error)) from None
 
-    def _read(self, message: Publish, source: str, ref: Ref, now_ms: float) -> Trigger:
+    def _read(self, message: Publish, source: str, ref: Ref, now_ms: float, fresh: bool) -> Trigger:
         tenant, band, function = address(message.topic, self._prefix, "/")
         if ref.version == V5:
             pairs = message.properties.get("user", [])
@@ -125,6 +128,7 @@
             message.dup,
             # A broker's own mark (DUP) tells only that the same session is given a message again.
             self._direct and message.dup,
+            fresh,
         )
         return self._reader.trigger(read, source, ref, now_ms)
 
--- a/swiftwell/fronts/mqtt/peer.py
+++ b/swiftwell/fronts/mqtt/peer.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import replace
 
 from swiftwell.fronts import trigger as tr
@@ -23,9 +24,12 @@
 from swiftwell.fronts.mqtt.connection import Connection
 from swiftwell.fronts.mqtt.contract import Contract, Ref, Rejected
 from swiftwell.fronts.mqtt.session import Session
+from swiftwell.fronts.reading import Freshness
 from swiftwell.fronts.trigger import Answer, Kind, Trigger
 from swiftwell.interface import Effect
 
+FULL = 0.9  # of the Receive Maximum: beyond it a broker may have more for us
+
 
 class Peer:
     """One session with its current connection, if any.
@@ -45,6 +49,7 @@
         self.generation = 0
         self.open = 0
         self.lost_answers = 0
+        self._freshness = Freshness()
         self._twins: dict[
             tuple[str, bytes | str | None], Ref
         ] = {}  # open triggers by where their answer goes
@@ -53,6 +58,7 @@
         """The session goes on over a new connection."""
         self.generation += 1
         self.connection = connection
+        self._freshness.full(time.monotonic())
 
     def detach(self, connection: Connection) -> None:
         """The connection has ended."""
@@ -81,9 +87,14 @@
 
     def trigger(self, message: Publish, version: int) -> None:
         """Read a message as a trigger and submit it."""
+        now, inbox = time.monotonic(), self.session.inbox
+        if len(inbox) >= FULL * inbox.window:
+            self._freshness.full(now)
         ref = self.contract.ref(message, version, (self, self.generation), self.client)
         try:
-            trigger = self.contract.read(message, self.source, ref, self.host.wall_ms())
+            trigger = self.contract.read(
+                message, self.source, ref, self.host.wall_ms(), self._freshness.fresh(now)
+            )
         except Rejected as error:
             self.host.log(
                 "warning", "malformed", source=self.source, topic=message.topic[:120], error=str(error)
--- a/swiftwell/fronts/patience.py
+++ b/swiftwell/fronts/patience.py
@@ -43,14 +43,24 @@
     def __len__(self) -> int:
         return len(self._clocks)
 
-    def transit_ms(self, publisher: str, sent_ms: float, now_ms: float, direct: bool) -> float:
+    def transit_ms(
+        self, publisher: str, sent_ms: float, now_ms: float, direct: bool, fresh: bool = True
+    ) -> float:
         """How long a message was under way.
 
         `direct`: it came over the publisher's own connection, so that an odd difference is its clock's and
-        not a queue's.
+        not a queue's.  `fresh`: no message can have waited at the broker for us of late.  One that may have
+        waited teaches nothing but that a clock is further ahead: a gateway that starts before a full queue
+        would take the wait for skew, and answer all of it late.  Unknown clocks count as set right then.
         """
         difference = now_ms - sent_ms
         clock = self._clocks.get(publisher)
+        if not (fresh or direct):
+            if clock is None:
+                return max(0.0, difference)
+            if difference < clock.base:
+                self._learn(clock, difference, now_ms, direct)
+            return max(0.0, difference - min(clock.base, clock.before))
         if clock is None:
             # Nothing is known yet.  Through a broker, what exceeds the usual skew was a queue: else a trigger
             # that waited there for a minute would be run a minute after its publisher left.
@@ -88,7 +98,9 @@
     expiry_ms: float | None = None  # what is left of a broker's message expiry: needs no clock
 
 
-def left_us(told: Told, most_ms: float, publisher: str, now_ms: float, direct: bool, skew: Skew) -> int:
+def left_us(
+    told: Told, most_ms: float, publisher: str, now_ms: float, direct: bool, skew: Skew, fresh: bool = True
+) -> int:
     """The time until the publisher gives up, in whole microseconds; never more than its class's deadline.
 
     `most_ms`: the deadline of the class, also where nothing is told.
@@ -97,7 +109,7 @@
     if told.sent_ms is not None:
         if told.deadline_ms is not None:
             patience = min(patience, told.deadline_ms - told.sent_ms)
-        patience -= skew.transit_ms(publisher, told.sent_ms, now_ms, direct)
+        patience -= skew.transit_ms(publisher, told.sent_ms, now_ms, direct, fresh)
     elif told.deadline_ms is not None:
         patience = min(patience, told.deadline_ms - now_ms)  # at face value: nothing tells the skew
     if told.expiry_ms is not None:
--- a/swiftwell/fronts/reading.py
+++ b/swiftwell/fronts/reading.py
@@ -16,6 +16,7 @@
 
 MOST_KEY = 200  # characters of a publisher's key
 MOST_LEVELS = 16  # words of an address
+ROOM_S = 0.25  # s of room after which a broker has nothing left that waits for us
 NUMBERS = ("timeout-ms", "deadline-ms", "sent-ms", "memory-mb", "lanes", "attempt", "unanswered")
 
 
@@ -43,7 +44,7 @@
 
     `numbers`: what it names of `NUMBERS`; `publisher`: whose clock it tells; `expiry_ms`: what is left of it
     by the protocol's own word; `repeated`: the protocol says that it was delivered before; `elsewhere`: and
-    that another gateway may have had it.
+    that another gateway may have had it; `fresh`: it can't have waited for us at a broker.
     """
 
     tenant: str
@@ -56,6 +57,23 @@
     expiry_ms: float | None = None
     repeated: bool = False
     elsewhere: bool = False
+    fresh: bool = True
+
+
+class Freshness:
+    """Whether what a broker gives now can have waited there for us: it can't once we have had room for a
+    while, as the broker would have given it before."""
+
+    def __init__(self) -> None:
+        self._full_at = 0.0
+
+    def full(self, now: float) -> None:
+        """We have no room, or begin to take."""
+        self._full_at = now
+
+    def fresh(self, now: float) -> bool:
+        """Whether room has stood for long enough."""
+        return now - self._full_at > ROOM_S
 
 
 def address(text: str, prefix: list[str], separator: str) -> tuple[str, str, str]:
@@ -121,7 +139,7 @@
             given.get("timeout-ms"), given.get("deadline-ms"), given.get("sent-ms"), message.expiry_ms
         )
         most = self.deadline_ms(message.band)
-        left = left_us(told, most, message.publisher, now_ms, self.direct, self.skew)
+        left = left_us(told, most, message.publisher, now_ms, self.direct, self.skew, message.fresh)
         hint = self._hint(message.function)
         attempt, unanswered = given.get("attempt") or 0, given.get("unanswered")
         # A publisher that has tried before and does not say that it was refused may have been heard
--- a/swiftwell/proof/runner.py
+++ b/swiftwell/proof/runner.py
@@ -22,7 +22,7 @@
 from swiftwell.proof import days
 from swiftwell.proof.rules import check
 from swiftwell.proof.trace import Trace, read
-from swiftwell.proof.verdict import handovers, quantile, starting, verdict, warmth
+from swiftwell.proof.verdict import handovers, quantile, sharing, starting, verdict, warmth
 
 CRASHES = STEPS[:-1]  # a crash after `owned` is a crash of the gateway itself
 READY_S = 20.0  # s that a program may take to start
@@ -132,6 +132,8 @@
         if any(one.do == "upgrade" for one in self.day.troubles):
             result |= handovers(events)
             result["pause"]["told_ms"] = self._pauses()
+        if any(crowd.via == "amqp" for crowd in self.day.crowds):
+            result["sharing"] = sharing(events)
         if any(one.do == "restart" for one in self.day.troubles):
             result["warm"] = warmth(events)
         result["rules_kept"] = not any(found.broken.values()) and not found.lost and not found.doubled
--- a/swiftwell/proof/verdict.py
+++ b/swiftwell/proof/verdict.py
@@ -105,6 +105,37 @@
     }
 
 
+def sharing(events: list[Event]) -> dict[str, Any]:
+    """How gateways shared what brokers gave them, and what was stranded where one was killed.
+
+    `spread` is the largest share of the first deliveries against an even one; `stranded` counts triggers that
+    a gateway had been given, and that were not answered, when it was killed; `again` deliveries after the
+    first.
+    """
+    given: dict[str, int] = {}
+    holder: dict[str, str] = {}
+    answered: set[str] = set()
+    stranded = again = 0
+    for event in events:
+        match event["ev"]:
+            case "to" if event["corr"] and not event["topic"].startswith("answers/"):
+                again += event["corr"] in holder
+                if event["corr"] not in holder:
+                    given[event["client"]] = given.get(event["client"], 0) + 1
+                holder[event["corr"]] = event["client"]
+            case "answer":
+                answered.add(event["corr"])
+            case "killed":
+                stranded += sum(gw == event["gw"] and corr not in answered for corr, gw in holder.items())
+    even = sum(given.values()) / max(1, len(given))
+    return {
+        "spread": round(max(given.values(), default=0) / even, 3) if even else 0.0,
+        "stranded": stranded,
+        "again": again,
+        "given": dict(sorted(given.items())),
+    }
+
+
 AROUND_S = 5.0  # s before and after a change of process whose calls are looked at
 
 
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -6,11 +6,11 @@
 import sys
 import textwrap
 import time
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 from amqpbench import Asker, broker, consuming, node, up
-from socketbench import Console, gateway, http, raw_worker, run, serving
+from socketbench import SITE, Console, gateway, http, raw_worker, run, serving
 
 from swiftwell.fronts.amqp import codec
 from swiftwell.fronts.amqp.client import Client, Refused, trigger
@@ -385,6 +385,7 @@
     async def main():
         async with broker() as b, raw_worker(serving) as w, consuming(tmp_path, b.port, [w]):
             asker = await Asker().connect(b.port)
+            await asyncio.sleep(0.4)  # what comes at once may have waited in the queue, and teaches nothing
             kinds = []
             for _ in range(5):
                 kinds.append(await asker.call(sent_ms=time.time() * 1e3 + hour))
@@ -504,6 +505,130 @@
     run(main())
 
 
+def test_the_command_line_publishes_one_trigger(tmp_path):
+    async def call(*words):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "swiftwell", "call", "--amqp", "--json", *words, stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )  # fmt: skip
+        out, _ = await process.communicate()
+        return process.returncode, json.loads(out)
+
+    async def main():
+        async with broker() as b, raw_worker(serving) as w, consuming(tmp_path, b.port, [w]):
+            at = f"127.0.0.1:{b.port}"
+            results = await asyncio.gather(
+                call(at, "calls/t/consigna/valve", "on", "--key", "k", "--priority", "3"),
+                call(at, "calls/t/nope/valve"),
+                call(at, "calls/t/lectura/f", "--exchange", "amq.topic"),
+                call("127.0.0.1:1", "calls/t/lectura/f"),
+            )
+            assert [code for code, _ in results] == [0, 3, 1, 1]
+            told = [one["reason"] for _, one in results]
+            assert results[0][1]["body"] == "done" and told[1] == "unknown-class"
+            assert "no queue takes it" in told[2] and "no connection" in told[3]
+
+    run(main())
+
+
+# A new process takes over, with the connection to the broker.
+
+
+@asynccontextmanager
+async def process(folder, b, worker, more=""):
+    """Gateway processes on one state folder: a function that starts one, and all that were started."""
+    site, started = folder / "s.kdl", []
+    site.write_text(
+        SITE.format(
+            state=folder / "state", workers=f'worker "{worker}" kind="k"', orders="orders false;",
+            more="", listener="", extra=f"{node(b.port, more)}\nlog format=\"json\"",
+        )
+    )  # fmt: skip
+
+    async def start(*words):
+        with open(folder / "log", "ab") as err:
+            one = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "swiftwell", "serve", str(site), "--ready", *words,
+                stdout=asyncio.subprocess.PIPE, stderr=err,
+            )  # fmt: skip
+        started.append(one)
+        assert await one.stdout.readline(), (folder / "log").read_text()[-2_000:]
+        return one
+
+    try:
+        yield start, started
+    finally:
+        for one in started:
+            if one.returncode is None:
+                one.terminate()
+        for one in started:
+            await one.wait()
+
+
+def test_a_new_process_takes_over_with_the_brokers_connection(tmp_path):
+    async def main():
+        calls = []
+        async with (
+            broker() as b,
+            raw_worker(keyed(calls, slow)) as w,
+            process(tmp_path, b, w) as (start, started),
+        ):
+            await start()
+            await settle(lambda: b.queues.get("calls") and b.queues["calls"].consumers)
+            (link,) = [one for one in b.connections if one.name == "gw"]
+            asker, asks, stop = await Asker().connect(b.port), [], asyncio.Event()
+
+            async def steady():
+                while not stop.is_set():
+                    band = "consigna" if len(asks) % 2 else "lectura"
+                    asks.append(asker.publish(band, f"k{len(asks)}", 2_900, body=b"x" * 3_000))
+                    await asyncio.sleep(0.12)
+
+            load = asyncio.ensure_future(steady())
+            b.pieces = 100  # contents are under way, in many frames, at any moment
+            for _ in range(3):
+                await asyncio.sleep(0.4)
+                await start("--take-over")
+                assert await started[-2].wait() == 0
+            stop.set()
+            await load
+            kinds = [(await asker.answer(corr))[0] for corr in asks]
+            assert "failed" not in kinds and kinds.count("served") >= 5
+            assert link in b.connections  # the same connection all along
+            assert not any(event["ev"] == "violation" for event in b.trace.kept)
+            assert all(len(told) == 1 for told in asker.answers.values())
+            unsafe = [key for key in calls if int(key[1:]) % 2]
+            assert len(unsafe) == len(set(unsafe)) > 0
+            await settle(lambda: not unacked(b))
+
+    run(main())
+
+
+def test_a_new_process_answers_over_a_new_connection_where_the_old_one_was_lost(tmp_path):
+    async def main():
+        async with (
+            broker() as b,
+            raw_worker(slow) as w,
+            process(tmp_path, b, w) as (start, _),
+        ):
+            await start()
+            await settle(lambda: b.queues.get("calls") and b.queues["calls"].consumers)
+            asker = await Asker().connect(b.port)
+            corr = asker.publish("consigna", "k", 2_900)
+            await settle(lambda: not unacked(b) and not b.queues["calls"].ready)
+            await asyncio.sleep(0.1)
+            b._server.stop()
+            for connection in list(b.connections):
+                if connection.name == "gw":
+                    connection.stream.close()
+            await asyncio.sleep(0.05)
+            await start("--take-over")
+            b._again()
+            assert await asker.answer(corr) == ("served", "ok")
+
+    run(main())
+
+
 # An independent peer, in a process of its own.
 
 PIKA = """
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -148,3 +148,30 @@
     for broken in (b"", b"{}", b"[", b"\xff"):
         with pytest.raises(SettingsError):
             from_service(broken, int)
+
+
+def test_an_amqp_broker_is_checked_as_a_whole():
+    text = """
+class "a" wanted-ms=1 deadline-ms=5
+workers { worker "h:1" }
+amqp-broker "one" prefetch-least=5 prefetch-most=4 redelivered="always" {
+  address "h"
+  queue "q" declare=false exchange="x"
+  queue "q" key="a.#"
+}
+amqp-broker "one" { address "h:1" }
+"""
+    found = problems(text)
+    assert 's.kdl:4: redelivered wants one of known, never; "always" is given' in found or any(
+        "redelivered" in one and one.startswith("s.kdl:4") for one in found
+    )
+    for line, words in (
+        (4, "'h' is not HOST:PORT"),
+        (4, "prefetch-least is beyond prefetch-most"),
+        (6, "queue q is not made here"),
+        (7, "queue q has keys, and no exchange"),
+        (7, "queue 'q' is given twice"),
+        (9, "amqp-broker 'one' is given twice"),
+        (9, "no queue"),
+    ):
+        assert any(one.startswith(f"s.kdl:{line}:") and words in one for one in found), (line, words, found)
