--- a/swiftwell/cli/day.py
+++ b/swiftwell/cli/day.py
@@ -47,7 +47,7 @@
     if as_json:
         click.echo(msgspec.json.encode(told).decode())
     else:
-        Console().print(_table(told))
+        Console().print(table(told))
         for text in told["breaches"]:
             click.echo(text, err=True)
     if not told["rules_kept"] and "folder" in told:
@@ -72,7 +72,8 @@
         sys.exit(2)
 
 
-def _table(told: dict[str, Any]) -> Table:
+def table(told: dict[str, Any]) -> Table:
+    """A verdict for a terminal."""
     table = Table(
         title=f"{told['day']}, seed {told['seed']}: " + ("rules kept" if told["rules_kept"] else "BROKEN")
     )
@@ -122,7 +123,7 @@
     except DayFailed as error:
         click.echo(f"the demo could not run: {error}", err=True)
         sys.exit(2)
-    console.print(_table(told))
+    console.print(table(told))
     console.print(
         "Next: `swiftwell day list`, `swiftwell day run bad-morning`, `swiftwell check examples/site.kdl`,\n"
         "docs/architecture.md for the way of a call, docs/mqtt.md to publish to it yourself."
--- /dev/null
+++ b/swiftwell/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The lab: an emulator of what gateways serve, in virtual time, around the real engine."""
--- a/tests/test_amqp_decisions.py
+++ b/tests/test_amqp_decisions.py
@@ -311,7 +311,7 @@
     bench.consumer.disconnected()
     assert bench.host.triggers == [] and bench.consumer.open == 0
     bench.connect()
-    assert kinds(bench.sent()) == [] or True
+    bench.sent()
     headers = [out.properties.headers for out in bench.consumer.flight.values()]
     assert [(h["status"], h["reason"]) for h in headers] == [("failed", "may-have-run")]
     bench.deliver("consigna", "k", "c", again=True)  # the broker had not processed it: no second answer
