--- a/swiftwell/cli/lab.py
+++ b/swiftwell/cli/lab.py
@@ -61,3 +61,67 @@
         for problem in error.problems:
             click.echo(str(problem), err=True)
         sys.exit(2)
+
+
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for cells and results.")
+@click.option("--processes", default=0, help="So many at a time; 0 is one for each core.")
+def compare(file: Path, out: Path, processes: int) -> None:
+    """Play the experiment in FILE; one that was killed goes on where it was.  Prints differences in pairs."""
+    from rich.progress import Progress
+
+    from swiftwell.lab import experiment as ex
+    from swiftwell.lab import stats
+
+    found = _experiment(file)
+    with Progress(console=Console(stderr=True)) as bar:
+        task = bar.add_task(file.stem, total=None)
+        rows = ex.run(found, out, processes, lambda done, of: bar.update(task, completed=done, total=of))
+    base = found.designs[0]
+    means = stats.means(rows, "service")
+    against = stats.differences(rows, "service", base)
+    for (where, design), one in means.items():
+        text = f"{_place(where):44} {design:16} {one.mean:.4f} ({one.low:.4f} to {one.high:.4f})"
+        if other := against.get((where, design)):
+            text += f"  {other.mean:+.4f} ({other.low:+.4f} to {other.high:+.4f}) against {base}"
+        click.echo(text)
+    broken = {(row["design"], row["day"]) for row in rows if row["rules_broken"]}
+    for design, day in sorted(broken):
+        click.echo(f"{design} breaks a rule on {day}: its figures count for nothing", err=True)
+    sys.exit(1 if any(design == "module" for design, _ in broken) else 0)
+
+
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder of `lab compare`.")
+def report(file: Path, out: Path) -> None:
+    """Write OUT/report.html for the experiment in FILE, once it has been played."""
+    from swiftwell.lab import experiment as ex
+    from swiftwell.lab import report as pages
+    from swiftwell.lab.emulator import Emulation
+
+    found = _experiment(file)
+    rows = ex.run(found, out, 0)
+    lines = []
+    for name in found.days:
+        emulation = Emulation(*days.load(name), seed=1)
+        emulation.run()
+        lines.append(pages.timeline(emulation.world.events, f"{emulation.name}, seed 1, the module"))
+    pages.write(out / "report.html", file.stem, found, rows, lines)
+    click.echo(str(out / "report.html"))
+
+
+def _experiment(file: Path):  # type: ignore[no-untyped-def]
+    from swiftwell.lab import experiment as ex
+
+    try:
+        return ex.load(file)
+    except SettingsError as error:
+        for problem in error.problems:
+            click.echo(str(problem), err=True)
+        sys.exit(2)
+
+
+def _place(where) -> str:  # type: ignore[no-untyped-def]
+    return ", ".join(str(value) if name == "day" else f"{name} {value:g}" for name, value in where)
--- a/swiftwell/lab/clients.py
+++ b/swiftwell/lab/clients.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from swiftwell.lab import constants as c
@@ -45,7 +46,8 @@
         self._clients = [_Client(number) for number in range(plan.clients)]
         self._number = 0
         self.open = 0  # calls that have not ended
-        self.done = False
+        self.done = False  # no more arrive
+        self.over: Callable[[], None] = lambda: None  # told once nothing is open any more
         self._begun = world.now
 
     def start(self) -> None:
@@ -105,10 +107,13 @@
         at_s += self._arrivals.exponential(1.0 / (self._plan.rate * times))
         if at_s >= self._plan.for_s:
             self.done = True
+            if not self.open:
+                self.over()
             return
         self.world.at(self._begun + at_s * 1e6, self._arrive, at_s)
 
     def _arrive(self, at_s: float) -> None:
+        self.open += 1  # before the next is drawn: the day is over when none comes and none is open
         self._next(at_s)
         plan, draws = self._plan, self._draws
         pick = draws.uniform(0, sum(habit.share for habit in plan.habits))
@@ -125,7 +130,6 @@
             rank = int(habit.functions ** draws.uniform()) - 1
             function = f"heat/{habit.band}-{rank}"
         client = draws.below(len(self._clients))
-        self.open += 1
         self._try(_Call(f"{self._name}-{self._number}", habit, function, client))
 
     def _try(self, call: _Call) -> None:
@@ -192,6 +196,8 @@
         once = how == "failed" and call.habit.band.startswith("consigna")
         if how in ("served", "left") or once or call.tries > self._plan.retries:
             self.open -= 1
+            if self.done and not self.open:
+                self.over()
             return
         wait = self._plan.retry_s * self._habits.uniform(0.5, 1.5)
         self.world.after(wait * 1e6, self._try, call)
--- a/swiftwell/lab/emulator.py
+++ b/swiftwell/lab/emulator.py
@@ -11,6 +11,7 @@
 
 from swiftwell import interface as io
 from swiftwell.choice import Router
+from swiftwell.gateway.ports import Listed
 from swiftwell.lab import constants as c
 from swiftwell.lab.clients import Crowd
 from swiftwell.lab.fronts import AmqpBroker, Endpoint, MqttBroker
@@ -38,6 +39,9 @@
         self._told: dict[str, dict[str, tuple[str, int]]] = {}
         self.gateways: list[Gateway] = []
         self._faults: dict[str, int] = {}
+        self._asked: set[str] = set()  # gateways whose question is being answered
+        self._shown: tuple[io.WorkerEntry, ...] = ()  # the list as entries, shared by all that are told it
+        self._of: dict[str, tuple[str, int]] | None = None
 
     def put(self, server: Server, state: str, now: bool = False) -> None:
         """A worker's state has changed."""
@@ -68,10 +72,14 @@
             self.tell(gateway)
 
     def tell(self, gateway: Gateway) -> None:
-        """Answer a gateway's question."""
+        """Answer a gateway's question; one answer tells all changes until it is written."""
+        if gateway.name in self._asked:
+            return
+        self._asked.add(gateway.name)
         self._world.after(c.LIST_POLL_US + gateway.client_us(), self._answer, gateway, gateway.life)
 
     def _answer(self, gateway: Gateway, life: int) -> None:
+        self._asked.discard(gateway.name)
         if gateway.life != life or not gateway.up:
             return
         if self._has("down", "hang", "cut", "malformed", "back"):
@@ -79,24 +87,25 @@
         shown = {} if self._has("empty") else dict(self._known)
         if self._has("half"):
             shown = dict(list(shown.items())[::2])
-        before, after = self._told.get(gateway.name, {}), {}
-        for worker, (state, _, started) in shown.items():
-            after[worker] = (state, started)
+        after = {worker: (state, started) for worker, (state, _, started) in shown.items()}
+        before = self._told.get(gateway.name, {})
+        if after == before and before:
+            return
+        for worker, (state, started) in after.items():
             if before.get(worker) != after[worker]:
                 self._world.note("told", "list", gw=gateway.name, worker=worker, state=state, started=started)
         for worker in before:
             if worker not in after:
                 self._world.note("told", "list", gw=gateway.name, worker=worker, state="gone", started=0)
-        if after == before and before:
-            return
         self._told[gateway.name] = after
         states = {"running": io.State.READY, "draining": io.State.DRAINING}
-        entries = tuple(
-            io.WorkerEntry(worker, states[state], kind, 1.0, started, "", 0)
-            for worker, (state, kind, started) in shown.items()
-        )
-        from swiftwell.gateway.ports import Listed
-
+        if after != self._of:
+            self._of = after
+            self._shown = tuple(
+                io.WorkerEntry(worker, states[state], kind, 1.0, started, "", 0)
+                for worker, (state, kind, started) in shown.items()
+            )
+        entries = self._shown
         gateway.put(Listed(io.Members(io.ListKind.FULL, entries)))
 
     def forget(self, gateway: Gateway) -> None:
@@ -127,19 +136,22 @@
         for number in range(day.gateways):
             told = replace(site.told(), position=number)
             plan = Plan(
-                told, site.margin_ms * 1_000, site.open_calls, site.workers.connections, make, site.hint
-            )
+                told, site.margin_ms * 1_000, site.open_calls, site.workers.connections, make, site.hint,
+                any(one.do == "kill-gateway" for one in day.troubles),
+            )  # fmt: skip
             gateway = Gateway(world, f"gw-{number}", plan, by_name)
             gateway.list_now = self.list.forget
             self.gateways.append(gateway)
         self.list.gateways = self.gateways
         alone = day.gateways == 1
         link = site.amqp[0]
-        self.fronts: dict[str, Any] = {
-            "endpoint": Endpoint(world, self.gateways, alone),
-            "broker": MqttBroker(world, self.gateways, day.share, alone),
-            "amqp": AmqpBroker(world, self.gateways, alone, link.prefetch_least, link.prefetch_most),
+        make_front = {
+            "endpoint": lambda: Endpoint(world, self.gateways, alone),
+            "broker": lambda: MqttBroker(world, self.gateways, day.share, alone),
+            "amqp": lambda: AmqpBroker(world, self.gateways, alone, link.prefetch_least, link.prefetch_most),
         }
+        used = {crowd.via for crowd in day.crowds} | {one.do for one in day.troubles}
+        self.fronts: dict[str, Any] = {via: make_front[via]() for via in make_front if via in used}
         self.crowds = self._crowds()
 
     def _servers(self) -> list[Server]:
@@ -187,12 +199,13 @@
             gateway.start()
         world.run(START_US + int(SETTLE_S * 1e6))
         for crowd in self.crowds:
+            crowd.over = self._crowd_over
             crowd.start()
         start = world.now
         for number, one in enumerate(self.day.troubles):
             world.at(start + one.at * 1e6, self._trouble, number, one)
         until = start + int((self.day.seconds + END_S) * 1e6)
-        world.run(until, lambda: not all(crowd.done and not crowd.open for crowd in self.crowds))
+        world.run(until)
         spent = time.perf_counter() - began
         found = check(world.events, self.day.limits())
         told = verdict(self.name, self.seed, (world.now - start) / 1e6, world.events, found)
@@ -202,6 +215,9 @@
         self.spent_s = spent  # not part of the verdict, which is the same every time
         return told
 
+    def _crowd_over(self) -> None:
+        self.world.stopped = all(crowd.done and not crowd.open for crowd in self.crowds)
+
     def _trouble(self, number: int, one: days.Trouble) -> None:
         match one.do:
             case "kill-gateway":
--- a/swiftwell/lab/gateway.py
+++ b/swiftwell/lab/gateway.py
@@ -40,6 +40,7 @@
     connections: int = 64
     make: Make = Router
     hint: Callable[[str], Any] = lambda function: None
+    books: bool = True  # written now and then; nobody reads them on a day without a kill
 
 
 class Gateway:
@@ -89,7 +90,8 @@
         world.note("ready", "runner", gw=self.name, port=self.port)
         self.put(ports.Listed(io.Members(io.ListKind.DELTA, ())))
         self.list_now(self)
-        world.after(crash.EVERY_US, self._write_books, self.life)
+        if self.plan.books:
+            world.after(crash.EVERY_US, self._write_books, self.life)
         for told in self.on_life:
             told(True)
 
--- a/swiftwell/lab/world.py
+++ b/swiftwell/lab/world.py
@@ -68,6 +68,7 @@
         self._count = 0
         self._streams: dict[str, Stream] = {}
         self.happened = 0
+        self.stopped = False  # the day is over
 
     def stream(self, name: str) -> Stream:
         """The chance of a part."""
@@ -92,12 +93,12 @@
         """Write an event down, as the stand-ins do."""
         self.events.append({"t": self.now, "who": who, "ev": ev, **fields})
 
-    def run(self, until: int, going: Callable[[], bool] = lambda: True) -> None:
-        """Let time pass until then, or while `going`."""
-        heap = self._heap
-        while heap and heap[0][0] <= until and going():
+    def run(self, until: int) -> None:
+        """Let time pass until then, or until something says `stop`."""
+        heap, self.stopped = self._heap, False
+        while heap and heap[0][0] <= until and not self.stopped:
             self.now, _, act, args = heapq.heappop(heap)
             self.happened += 1
             act(*args)
-        if not heap or heap[0][0] > until:
+        if not self.stopped:
             self.now = max(self.now, until)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,14 +7,18 @@
 from dataclasses import replace
 
 import msgspec
+import numpy as np
 import pytest
 
 from swiftwell import interface as io
 from swiftwell.choice import Router
+from swiftwell.lab import experiment, report, stats
+from swiftwell.lab.baselines import DESIGNS
 from swiftwell.lab.emulator import Emulation
 from swiftwell.lab.servers import Server, Store
 from swiftwell.lab.world import START_US, Stream, World
 from swiftwell.proof import days
+from swiftwell.settings.document import SettingsError
 from swiftwell.standins.model import Machine, Work
 
 
@@ -40,6 +44,8 @@
 
 DIGEST = """
 import hashlib, msgspec, sys
+from swiftwell.lab import experiment, report, stats
+from swiftwell.lab.baselines import DESIGNS
 from swiftwell.lab.emulator import Emulation
 from swiftwell.proof import days
 one = Emulation(*days.load("bad-morning"), seed=int(sys.argv[1]))
@@ -251,3 +257,95 @@
     got = [asks(world, one, number) for number in range(40)]
     assert one.down and any(event["ev"] == "fell" for event in world.events)
     assert all(told[0].lost for told in got if told)
+
+
+# Experiments.
+
+EXPERIMENT = """
+doc "Two designs at two rates."
+days "quiet"
+designs "module" "random"
+seeds 2
+factor "rate" { levels 0.2 0.4 }
+factor "seconds" { levels 4 }
+"""
+
+
+def test_an_experiment_goes_on_after_a_kill_and_is_the_same_on_any_processes(tmp_path):
+    found = experiment.read(EXPERIMENT, "e.kdl")
+    assert len(list(experiment.cells(found))) == 8
+    one = experiment.run(found, tmp_path / "one", processes=1)
+    experiment.run(found, tmp_path / "many", processes=4)
+    whole = (tmp_path / "one" / "results.npz").read_bytes()
+    assert (tmp_path / "many" / "results.npz").read_bytes() == whole
+    # Killed half-way: some lines are there, the last one cut short.
+    lines = (tmp_path / "one" / "cells.jsonl").read_bytes().split(b"\n")
+    (tmp_path / "killed").mkdir()
+    (tmp_path / "killed" / "cells.jsonl").write_bytes(b"\n".join(lines[:3]) + b"\n" + lines[3][:40])
+    progress = []
+    experiment.run(found, tmp_path / "killed", 1, lambda done, of: progress.append((done, of)))
+    assert progress[0] == (3, 8) and progress[-1] == (8, 8)
+    assert (tmp_path / "killed" / "results.npz").read_bytes() == whole
+    again = []
+    experiment.run(found, tmp_path / "killed", 1, lambda done, of: again.append(done))
+    assert again == [8]  # nothing is played twice
+    columns = np.load(tmp_path / "one" / "results.npz")
+    assert list(columns["design"]) == [row["design"] for row in one] and len(columns["service"]) == 8
+    page = tmp_path / "report.html"
+    emulation, _ = emulate("quiet", 1, seconds=5.0)
+    lines = [report.timeline(emulation.world.events, "quiet")]
+    report.write(page, "title", found, one, lines)
+    text = page.read_text()
+    assert text.count("<svg") == 4  # three figures by rate, and the time line
+    for word in ("<script", "src=", "url(http", 'href="http', "<link"):
+        assert word not in text  # it needs no other file
+    assert "module" in text and "rate 0.2" in text
+
+
+@pytest.mark.parametrize(
+    ("change", "line", "why"),
+    [
+        ('designs "module" "bets"', 1, "no design 'bets'"),
+        ('days "nowhere"', 0, "can't be read"),
+        ("seeds 0", 1, "seeds wants a whole number from 1"),
+        ('factor "colour" { levels 1 }', 1, "colour"),
+        ('factor "rate"', 1, "levels"),
+    ],
+)
+def test_an_experiment_that_is_wrong_says_where(change, line, why):
+    text = (
+        change
+        + "\n"
+        + "\n".join(one for one in EXPERIMENT.split("\n") if one.split(" ")[0] != change.split(" ")[0])
+    )
+    if "days" not in text:
+        text += '\ndays "quiet"\n'
+    with pytest.raises(SettingsError) as error:
+        experiment.read(text, "e.kdl")
+    assert any(problem.line == line and why in str(problem) for problem in error.value.problems), [
+        str(problem) for problem in error.value.problems
+    ]
+
+
+def test_differences_are_of_pairs_and_their_intervals_hold_what_they_should():
+    chance = np.random.default_rng(3)
+    inside = 0
+    for _ in range(60):
+        days_ = chance.normal(0.5, 0.2, 12)  # days differ much more than designs do
+        rows = [
+            {"day": "d", "design": design, "seed": seed, "service": day + add + chance.normal(0, 0.01)}
+            for seed, day in enumerate(days_)
+            for design, add in (("module", 0.0), ("other", 0.02))
+        ]
+        ((_, told),) = stats.differences(rows, "service", "module").items()
+        inside += told.low <= 0.02 <= told.high
+        assert told.count == 12 and told.high - told.low < 0.03
+    assert inside >= 48  # 57 are expected of 95 %
+    assert stats.interval([0.5, 0.5, 0.5]).low == 0.5 and not stats.interval([-1.0, 1.0, 0.3, -0.2]).tells
+    assert stats.interval([0.2, 0.21, 0.22, 0.2]).tells
+
+
+@pytest.mark.parametrize("design", sorted(DESIGNS))
+def test_each_design_plays_a_quiet_day(design):
+    _, told = emulate("quiet", 1, DESIGNS[design], seconds=5.0)
+    assert told["served"] > 0.8 * told["calls"] > 40
