--- a/benchmarks/reality.py
+++ b/benchmarks/reality.py
@@ -64,9 +64,8 @@
             ok = gap <= TOLERANCE[figure]
             outside += not ok
             spread = f"({min(one):.3f} to {max(one):.3f}; {min(two):.3f} to {max(two):.3f})"
-            print(
-                f"{name:14} {figure:8} sockets {a:9.3f}  emulated {b:9.3f}  {spread} {'' if ok else 'OUTSIDE'}"
-            )
+            told = f"{name:14} {figure:8} sockets {a:9.3f}  emulated {b:9.3f}  {spread}"
+            print(told + ("" if ok else " OUTSIDE"))
     return 1 if outside else 0
 
 
