--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -122,6 +122,7 @@
         # Number: worker, function, timer, when it was sent, when it counts as unanswered.
         self._orders: dict[int, tuple[str, str, int, int, int]] = {}
         self._numbers = self._writes = self._faults = 0
+        self._at_work = 0  # attempts that are out
         self._books = 0  # numbers the module's books: timers of older ones mean nothing to newer ones
         self._unconfirmed: set[str] = set()  # workers of books that a killed process left
         self._rebuilding = self._stopping = False
@@ -185,9 +186,9 @@
         return len(self._calls)
 
     def load(self) -> tuple[int, int]:
-        """Calls with an attempt out, and calls that wait for one."""
-        running = sum(call.out() for call in self._calls.values())
-        return running, sum(not call.settled for call in self._calls.values()) - running
+        """Attempts that are out, and calls that wait for one."""
+        # Counted as they come and go: fronts ask twenty times a second, with thousands of calls open.
+        return self._at_work, max(0, len(self._calls) - self._at_work)
 
     # Inputs.
 
@@ -374,6 +375,7 @@
         attempt = call.attempts[end.number]
         self._wheel.cancel(attempt.timer)
         attempt.out, attempt.ran = False, end.ran
+        self._at_work -= 1
         if (end.ran is Ran.NEVER) != (end.status in io.NEVER_RAN):
             raise AssertionError(f"{end.status!r} does not agree with {end.ran!r}")
         self._word(attempt.worker, end)
@@ -599,6 +601,7 @@
         attempt = Attempt(act.worker, until_us=until)
         attempt.timer = self._wheel.add(until, lambda: self._abandon(call, number, Status.TIMEOUT))
         call.attempts.append(attempt)
+        self._at_work += 1
         self.counts["starts"] += 1
         self._out.append(
             ports.Start(call.id, number, act.worker, call.trigger, until - self._now, call.band.streamed)
@@ -674,6 +677,7 @@
                     waiter.timer = wheel.add(waiter.until_us, lambda c=call, w=waiter: self._impatient(c, w))
             for number, attempt in enumerate(call.attempts):
                 if attempt.out:
+                    self._at_work += 1
                     attempt.timer = wheel.add(
                         attempt.until_us, lambda c=call, n=number: self._abandon(c, n, Status.TIMEOUT)
                     )
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -1,5 +1,6 @@
 """The engine: every event and action of the module, one final answer, the ledger before the first byte."""
 
+import random
 from dataclasses import replace
 
 import pytest
@@ -382,3 +383,20 @@
     play.wait(40_000)
     play.call("keyed", "k", left=0, again=True)
     assert play.kinds() == ["failed"] * 3
+
+
+def test_what_runs_and_what_waits_is_counted_as_it_comes_and_goes():
+    chance = random.Random(5)
+    play = Play(workers=["a", "b"])
+    for number in range(300):
+        band = chance.choice(["safe", "keyed", "unsafe"])
+        play.call(band, f"k{number}", left=chance.randrange(50_000, 900_000))
+        play.wait(chance.randrange(0, 20_000), 5_000)
+        for start in only(play.out, ports.Start):
+            if chance.random() < 0.6:
+                play.end(start, chance.choice([io.Status.OK, io.Status.FULL, io.Status.RESET]))
+        play.out.clear()
+        calls = play.engine._calls.values()
+        out = sum(attempt.out for call in calls for attempt in call.attempts)
+        assert play.engine.load()[0] == out
+        assert play.engine.load()[1] == sum(not call.out() for call in calls)
