--- a/swiftwell/cli/lab.py
+++ b/swiftwell/cli/lab.py
@@ -85,7 +85,7 @@
     means = stats.means(rows, figure)
     against = stats.differences(rows, figure, base)
     for (where, design), one in means.items():
-        text = f"{_place(where):44} {design:16} {one.mean:.4f} ({one.low:.4f} to {one.high:.4f})"
+        text = f"{stats.named(where):44} {design:16} {one.mean:.4f} ({one.low:.4f} to {one.high:.4f})"
         if other := against.get((where, design)):
             text += f"  {other.mean:+.4f} ({other.low:+.4f} to {other.high:+.4f}) against {base}"
         click.echo(text)
@@ -124,7 +124,3 @@
         for problem in error.problems:
             click.echo(str(problem), err=True)
         sys.exit(2)
-
-
-def _place(where) -> str:  # type: ignore[no-untyped-def]
-    return ", ".join(str(value) if name == "day" else f"{name} {value:g}" for name, value in where)
--- a/swiftwell/fronts/amqp/consumer.py
+++ b/swiftwell/fronts/amqp/consumer.py
@@ -304,13 +304,17 @@
                     session.send(CONSUME, codec.QueueBind(0, queue.name, queue.exchange, key))
             session.send(CONSUME, codec.Consume(0, queue.name, f"{self.link.name}-{number}"))
 
+    def _room(self) -> int:
+        """What the broker may leave unacknowledged: claimed triggers no longer count for it."""
+        return max(1, min(65_535, self.prefetch.limit - self.claimed))
+
     def _qos(self, claims: list[Claim]) -> None:
         """Tell the broker how much it may give; its answer frees the claims that were acknowledged before.
 
         Global: one limit for all consumers of the channel, in force at once.
         """
         assert self.session
-        self._told = max(1, min(65_535, self.prefetch.limit - self.claimed))
+        self._told = self._room()
         self.session.send(CONSUME, codec.Qos(0, self._told, True))
         self.barriers.append(claims)
 
@@ -597,8 +601,7 @@
         self._pump()
         if session.is_open(CONSUME) and self.up:
             self._pause(session)
-            limit = max(1, min(65_535, self.prefetch.limit - self.claimed))
-            if limit != self._told and not self.resting:
+            if self._room() != self._told and not self.resting:
                 self._qos([])
         if session.out:
             self._wake()
--- a/swiftwell/lab/emulator.py
+++ b/swiftwell/lab/emulator.py
@@ -22,9 +22,7 @@
 from swiftwell.proof.rules import check
 from swiftwell.proof.verdict import sharing, verdict
 from swiftwell.settings import site as settings
-from swiftwell.standins.model import Machine
-from swiftwell.standins.publishers import Habit
-from swiftwell.standins.publishers import Plan as CrowdPlan
+from swiftwell.standins.fleet import crowd_plan, machine
 
 END_S = 30.0  # s that publishers may take beyond their calls
 SETTLE_S = 0.5  # s from the gateways' start to the first call
@@ -158,16 +156,11 @@
         day, out = self.day, []
         keys: OrderedDict[str, int] = OrderedDict()
         for kind in day.kinds:
-            machine = Machine(
-                kind.cores, kind.speed, kind.memory_mb, day.fleet.queue, day.fleet.loads,
-                start_us=day.fleet.start_ms * 1_000, cold_share=day.cold_share, cold_us=day.cold_ms * 1_000,
-                fall_multiple=day.fall_multiple, fall_us=day.fall_ms * 1_000, misses=day.fleet.misses,
-                remembers_us=max((one.memory_ms for one in day.classes), default=0) * 1_000,
-            )  # fmt: skip
+            made = machine(day, kind)
             for _ in range(max(1, round(kind.workers * self._scale))):
                 name = f"127.0.0.1:{20_000 + len(out)}"
                 server = Server(
-                    self.world, name, kind.name, machine, self._work_us, self.store, keys, day.warm,
+                    self.world, name, kind.name, made, self._work_us, self.store, keys, day.warm,
                     self.list.put,
                 )  # fmt: skip
                 out.append(server)
@@ -175,22 +168,10 @@
         return out
 
     def _crowds(self) -> list[Crowd]:
-        day = self.day
-        habits = tuple(
-            Habit(one.name, one.share, one.deadline_ms / 1e3, one.functions, one.qos,
-                  wanted_s=one.wanted_ms / 1e3, worth=one.worth)
-            for one in day.classes
-        )  # fmt: skip
-        bursts = tuple((b.at, b.for_s, b.times) for b in day.bursts)
         return [
-            Crowd(
-                self.world, crowd.name,
-                CrowdPlan(crowd.rate * self._scale, day.seconds, habits, crowd.clients, crowd.retries,
-                          leave=crowd.leave, one_off=crowd.one_off, bursts=bursts),
-                self.fronts[crowd.via],
-            )
-            for crowd in day.crowds
-        ]  # fmt: skip
+            Crowd(self.world, crowd.name, crowd_plan(self.day, crowd, self._scale), self.fronts[crowd.via])
+            for crowd in self.day.crowds
+        ]
 
     def run(self) -> dict[str, Any]:
         """Play it; its verdict, as a day through sockets has it."""
--- a/swiftwell/lab/fronts.py
+++ b/swiftwell/lab/fronts.py
@@ -247,6 +247,7 @@
         self.broker, self.gateway = broker, gateway
         self._bounds = least, most
         self.up = False
+        self.unacked: dict[int, _Queued] = {}
         gateway.on_life.append(self.life)
 
     def life(self, up: bool) -> None:
@@ -254,7 +255,7 @@
         if up:
             self.prefetch = Prefetch(*self._bounds)
             self.told = self.prefetch.limit
-            self.unacked: dict[int, _Queued] = {}
+            self.unacked = {}
             self.open = self.claimed = self.ended = 0
             self.twins: dict[str, Origin] = {}
             self.broker.world.after(20_000, self.connect, self.gateway.life)
@@ -327,7 +328,7 @@
     def lost(self, consumer: _Consumer) -> None:
         """A connection is gone: what it had not acknowledged goes back to its place."""
         consumer.up = False
-        for queued in getattr(consumer, "unacked", {}).values():
+        for queued in consumer.unacked.values():
             queued.redelivered = True
             heapq.heappush(self._queue, queued)
         consumer.unacked = {}
--- a/swiftwell/lab/report.py
+++ b/swiftwell/lab/report.py
@@ -32,11 +32,6 @@
     return text[text.index("<svg") :]
 
 
-def _name(where: Any) -> str:
-    parts = [f"{value}" if name == "day" else f"{name} {value:g}" for name, value in where]
-    return ", ".join(parts)
-
-
 def lines(rows: list[dict[str, Any]], factor: str, figure: str) -> str:
     """A figure against a factor, a line for each design, with intervals."""
     plt.rcParams["svg.hashsalt"] = "swiftwell"
@@ -103,7 +98,7 @@
         other = against.get((where, design))
         name = html.escape(design) + (" (rules broken)" if broken[where, design].mean else "")
         cells = [
-            html.escape(_name(where)), name, f"{one.mean:.4f}", f"{one.low:.4f} to {one.high:.4f}",
+            html.escape(stats.named(where)), name, f"{one.mean:.4f}", f"{one.low:.4f} to {one.high:.4f}",
             f"{other.mean:+.4f}" if other else "", f"{other.low:+.4f} to {other.high:+.4f}" if other else "",
             f"{late[where, design].mean:.0f}", f"{loads[where, design].mean:.0f}",
         ]  # fmt: skip
--- a/swiftwell/lab/stats.py
+++ b/swiftwell/lab/stats.py
@@ -54,6 +54,11 @@
     return tuple((name, value) for name, value in row.items() if name not in (*WHAT[1:], *FIGURES))
 
 
+def named(where: tuple[tuple[str, Any], ...]) -> str:
+    """A place in words."""
+    return ", ".join(str(value) if name == "day" else f"{name} {value:g}" for name, value in where)
+
+
 def means(rows: list[dict[str, Any]], figure: str) -> dict[tuple[Any, str], Interval]:
     """For each place and design, the figure's mean over seeds."""
     found: dict[tuple[Any, str], list[float]] = defaultdict(list)
--- a/swiftwell/standins/fleet.py
+++ b/swiftwell/standins/fleet.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from swiftwell.fronts.mqtt.codec import V5, V311
-from swiftwell.proof.days import Day
+from swiftwell.proof.days import Crowd as DayCrowd
+from swiftwell.proof.days import Day, DayKind
 from swiftwell.proof.trace import Trace
 from swiftwell.standins.amqp_publishers import AmqpPublishers
 from swiftwell.standins.listing import Listing
@@ -40,17 +41,10 @@
         store = f"127.0.0.1:{self._store.start()}"
         work_us = {one.name: one.work_ms * 1e3 for one in day.classes}
         for kind in day.kinds:
-            machine = Machine(
-                kind.cores, kind.speed, kind.memory_mb, day.fleet.queue, day.fleet.loads,
-                start_us=day.fleet.start_ms * 1_000, cold_share=day.cold_share, cold_us=day.cold_ms * 1_000,
-                fall_multiple=day.fall_multiple, fall_us=day.fall_ms * 1_000, misses=day.fleet.misses,
-                remembers_us=max((one.memory_ms for one in day.classes), default=0) * 1_000,
-            )  # fmt: skip
+            made = machine(day, kind)
             for _ in range(max(1, round(kind.workers * self._scale))):
                 seed = self._chance.getrandbits(32)
-                worker = Worker(
-                    self._trace, machine, seed, work_us, store, day.warm, self._changed, self._keys
-                )
+                worker = Worker(self._trace, made, seed, work_us, store, day.warm, self._changed, self._keys)
                 worker.start()
                 self._workers.append(worker)
                 self._kinds.append(kind.name)
@@ -81,10 +75,18 @@
         }
 
 
-def crowds(
-    trace: Trace, day: Day, seed: int, scale: float, addresses: dict[str, list[str]]
-) -> list[Publishers]:
-    """The publishers of a day."""
+def machine(day: Day, kind: DayKind) -> Machine:
+    """A calc server of a kind, on a day."""
+    return Machine(
+        kind.cores, kind.speed, kind.memory_mb, day.fleet.queue, day.fleet.loads,
+        start_us=day.fleet.start_ms * 1_000, cold_share=day.cold_share, cold_us=day.cold_ms * 1_000,
+        fall_multiple=day.fall_multiple, fall_us=day.fall_ms * 1_000, misses=day.fleet.misses,
+        remembers_us=max((one.memory_ms for one in day.classes), default=0) * 1_000,
+    )  # fmt: skip
+
+
+def crowd_plan(day: Day, crowd: DayCrowd, scale: float) -> Plan:
+    """What a crowd of a day publishes."""
     habits = tuple(
         Habit(
             one.name, one.share, one.deadline_ms / 1e3, one.functions, one.qos, wanted_s=one.wanted_ms / 1e3,
@@ -92,13 +94,20 @@
         )
         for one in day.classes
     )  # fmt: skip
+    return Plan(
+        crowd.rate * scale, day.seconds, habits, crowd.clients, crowd.retries, leave=crowd.leave,
+        one_off=crowd.one_off, bursts=tuple((b.at, b.for_s, b.times) for b in day.bursts),
+        skew_ms=crowd.skew_ms,
+    )  # fmt: skip
+
+
+def crowds(
+    trace: Trace, day: Day, seed: int, scale: float, addresses: dict[str, list[str]]
+) -> list[Publishers]:
+    """The publishers of a day."""
     out = []
     for number, crowd in enumerate(day.crowds):
-        plan = Plan(
-            crowd.rate * scale, day.seconds, habits, crowd.clients, crowd.retries, leave=crowd.leave,
-            one_off=crowd.one_off, bursts=tuple((b.at, b.for_s, b.times) for b in day.bursts),
-            skew_ms=crowd.skew_ms,
-        )  # fmt: skip
+        plan = crowd_plan(day, crowd, scale)
         version = V5 if crowd.version == "5.0" else V311
         make = AmqpPublishers if crowd.via == "amqp" else Publishers
         out.append(make(trace, plan, addresses[crowd.via], seed * 1_000 + number, version, crowd.name))
--- a/swiftwell/workers/link.py
+++ b/swiftwell/workers/link.py
@@ -133,7 +133,6 @@
     ) -> None:
         self._gateway, self._bounds, self._put, self.log = gateway, bounds, put, log
         self._started = started  # a worker's start in wall-clock ms as monotonic us
-        self._started = started  # a worker's wall-clock start as monotonic us
         self._workers: dict[str, _Worker] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
         self.others: dict[_Job, tuple[str, int]] = {}  # orders and questions: kind, number
