--- /dev/null
+++ b/swiftwell/discovery/journal.py
@@ -0,0 +1,275 @@
+"""The journal service: events of the list of workers, numbered, as frames and as JSON.
+
+`Frames` turns bytes into events, `Feed` says which of them are news, `Addresses` knows where a worker is;
+none of them does I/O.  `Client` keeps a connection and asks again from the last whole event.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from struct import Struct
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from swiftwell import interface as io
+from swiftwell.interface import ListKind, State
+
+MOST_RECORDS = 20_000  # records of a frame: a list of so many workers is far beyond a tier
+SILENT_S = 1.5  # s without a frame, one a second is promised: the service has stopped
+LOOK_S = 0.1  # s between looks at it
+AGAIN_S = (0.02, 0.1)  # s before asking again; what was missed may count as told 2 s after a break
+CONNECT_S = 0.5  # s until a connection counts as failed
+LIVED_S = 1.0  # s that a connection must have lived to be asked for again at once
+MOST_AGAIN_S = 1.0  # s between tries at most, where the service turns us away again and again
+
+_HEAD = Struct(">IQB")
+_AFTER_LENGTH = 9  # bytes of number and kind
+_RECORD = Struct(">I4sHBBBHIQ")
+NOTHING, WHOLE, CHANGES = 0, 1, 2
+_STATES = (State.READY, State.DRAINING, State.GONE)
+_WORDS = {"up": State.READY, "draining": State.DRAINING, "removed": State.GONE}
+
+
+class FrameError(ValueError):
+    """Bytes that are no frames: the connection can't be trusted any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Worker:
+    """One worker as the journal tells it; `since_ms` is the Unix millisecond of a late start, or 0."""
+
+    id: str
+    address: tuple[str, int]
+    state: State
+    zone: str
+    kind: str
+    cell: int
+    weight: float
+    since_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Event `number`: the whole list, or what has changed."""
+
+    number: int
+    whole: bool
+    workers: tuple[Worker, ...]
+
+
+def address(text: str) -> tuple[str, int]:
+    """HOST:PORT; raises ValueError."""
+    host, sign, port = text.rpartition(":")
+    if not sign or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"not HOST:PORT: {text!r}")
+    return host, int(port)
+
+
+def known(found: dict[str, Any]) -> tuple[Event, ...]:
+    """The events of the start, as the configuration keeps them; raises ValueError."""
+    events, last = [], found.get("pos")
+    if not isinstance(last, int) or not isinstance(found.get("entries"), list):
+        raise ValueError("expected pos, a number, and entries, a list")
+    for at, one in enumerate(found["entries"]):
+        try:
+            hosts = one["hosts"]
+            workers = tuple(_from_json(entry) for entry in hosts["endpoints"])
+            events.append(Event(int(one["pos"]), bool(hosts["snapshot"]), workers))
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"entries.{at}: {type(error).__name__} {error}") from None
+        except ValueError as error:
+            raise ValueError(f"entries.{at}: {error}") from None
+    if events and events[-1].number != last:
+        raise ValueError(f"pos is {last}, the last entry is {events[-1].number}")
+    return tuple(events)
+
+
+def _from_json(entry: dict[str, Any]) -> Worker:
+    state = _WORDS.get(entry["status"])
+    if state is None:
+        raise ValueError(f"status {entry['status']!r}, expected one of {', '.join(_WORDS)}")
+    at = address(entry["address"])
+    weight, since = float(entry.get("weight", 1.0)), float(entry.get("since_ms", 0))
+    return Worker(
+        str(entry["name"]), at, state, str(entry.get("zone", "")), str(entry.get("type", "")),
+        int(entry.get("group", 0)), weight, since,
+    )  # fmt: skip
+
+
+class Frames:
+    """Bytes of one connection into events; `None` stands for an empty frame."""
+
+    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
+        self._zones, self._kinds = zones, kinds
+        self._rest = bytearray()
+
+    def feed(self, data: bytes) -> list[Event | None]:
+        """Raises FrameError."""
+        rest, found = self._rest, []
+        rest += data
+        while len(rest) >= _HEAD.size:
+            length, number, kind = _HEAD.unpack_from(rest)
+            if not _AFTER_LENGTH <= length <= _AFTER_LENGTH + MOST_RECORDS * _RECORD.size:
+                raise FrameError(f"a frame of {length} bytes")
+            size = length - _AFTER_LENGTH
+            if kind > CHANGES or size % _RECORD.size or (kind == NOTHING and size):
+                raise FrameError(f"a frame of kind {kind} with {size} bytes")
+            if len(rest) < 4 + length:
+                break
+            if kind == NOTHING:
+                found.append(None)
+            else:
+                records = _RECORD.iter_unpack(bytes(rest[_HEAD.size : 4 + length]))
+                found.append(Event(number, kind == WHOLE, tuple(map(self._worker, records))))
+            del rest[: 4 + length]
+        return found
+
+    def _worker(self, record: tuple) -> Worker:
+        id_, at, port, state, zone, kind, cell, weight, started = record
+        if state >= len(_STATES) or zone >= len(self._zones) or kind >= len(self._kinds) or not port:
+            raise FrameError(f"a record of worker s-{id_:08x} that can't be used")
+        return Worker(
+            f"s-{id_:08x}", (socket.inet_ntoa(at), port), _STATES[state], self._zones[zone],
+            self._kinds[kind], cell, weight / 1_000, float(started),
+        )  # fmt: skip
+
+
+class Feed:
+    """Which events are news: each number once, in order."""
+
+    def __init__(self) -> None:
+        self.held = 0  # number of the last event
+        self.repeated = 0
+
+    def take(self, event: Event) -> bool:
+        """Whether an event is news; raises FrameError where one before it is missing."""
+        if event.number <= self.held:
+            self.repeated += 1
+            return False
+        if event.number != self.held + 1 and not event.whole:
+            raise FrameError(f"event {event.number} after {self.held}")
+        self.held = event.number
+        return True
+
+
+class Addresses:
+    """Where each worker is.  Workers are known by id: an address may be another's later."""
+
+    def __init__(self) -> None:
+        self._of: dict[str, tuple[str, int]] = {}
+
+    def __len__(self) -> int:
+        return len(self._of)
+
+    def get(self, worker: str) -> tuple[str, int] | None:
+        return self._of.get(worker)
+
+    def take(self, event: Event) -> list[str]:
+        """Learn from an event; the workers that are gone by it."""
+        gone = [worker.id for worker in event.workers if worker.state is State.GONE]
+        if event.whole:
+            named = {worker.id for worker in event.workers}
+            gone += [worker for worker in self._of if worker not in named]
+        self._of |= {worker.id: worker.address for worker in event.workers}
+        for worker in gone:
+            self._of.pop(worker, None)
+        return gone
+
+
+def members(event: Event, started: Callable[[float], int]) -> io.Members:
+    """An event as the module takes it; `started` turns a start in Unix ms into the module's time."""
+    entries = tuple(
+        io.WorkerEntry(w.id, w.state, w.kind, w.weight, started(w.since_ms), w.zone, w.cell)
+        for w in event.workers
+    )
+    return io.Members(ListKind.FULL if event.whole else ListKind.DELTA, entries)
+
+
+class Client:
+    """Follows the service for ever; `tell` takes each event that is news."""
+
+    def __init__(
+        self,
+        at: tuple[str, int],
+        frames: Callable[[], Frames],
+        tell: Callable[[Event], None],
+        log: Callable[..., None],
+        chance: random.Random,
+    ) -> None:
+        self.at, self._frames, self._tell, self._log, self._chance = at, frames, tell, log, chance
+        self.feed = Feed()
+        self.heard = 0.0  # monotonic s of the last whole frame
+        self.connections = 0
+        self._stream: IOStream | None = None
+        self._failures = 0
+
+    def start(self, events: Iterable[Event]) -> None:
+        """Take the events of a configuration; those already held are passed over."""
+        for event in events:
+            if event.number > self.feed.held:
+                self.feed.held = event.number
+                self._tell(event)
+
+    def move(self, at: tuple[str, int]) -> None:
+        """The service has another address: ask there, from the last event held."""
+        self.at, self._failures = at, 0
+        if self._stream:
+            self._stream.close()
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            began = time.monotonic()
+            why = await self._follow()
+            lived = time.monotonic() - began
+            self._failures = 0 if lived >= LIVED_S else self._failures + 1
+            self._log("info", "journal-left", at=f"{self.at[0]}:{self.at[1]}", why=why, held=self.feed.held)
+            wait = self._chance.uniform(*AGAIN_S) * 2 ** min(self._failures, 8)
+            await asyncio.sleep(min(wait, MOST_AGAIN_S))
+
+    async def _follow(self) -> str:
+        """One connection, from the number held to its end; why it ended."""
+        self.connections += 1
+        stream = self._stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        try:
+            await asyncio.wait_for(stream.connect(self.at), CONNECT_S)
+            stream.set_nodelay(True)
+            stream.write(self.feed.held.to_bytes(8, "big"))
+            self.heard = time.monotonic()
+            return await self._read(stream, self._frames())
+        except (OSError, TimeoutError, StreamClosedError) as error:
+            return f"{type(error).__name__}: {error}"
+        except FrameError as error:
+            return str(error)
+        finally:
+            stream.close()
+            if self._stream is stream:
+                self._stream = None
+
+    async def _read(self, stream: IOStream, frames: Frames) -> str:
+        reading = None
+        try:
+            while True:
+                reading = reading or asyncio.ensure_future(_some(stream))
+                done, _ = await asyncio.wait((reading,), timeout=LOOK_S)
+                if done:
+                    data, reading = reading.result(), None
+                    for event in frames.feed(data):
+                        self.heard = time.monotonic()
+                        if event is not None and self.feed.take(event):
+                            self._tell(event)
+                if time.monotonic() - self.heard > SILENT_S:
+                    return "silent"
+        finally:
+            if reading:
+                reading.cancel()
+
+
+async def _some(stream: IOStream) -> bytes:
+    return await stream.read_bytes(65_536, partial=True)
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -93,12 +93,14 @@
     """One gateway's calls.  `told` goes to the module as it is; the rest is the engine's.
 
     `margin_us`: time kept back from each trigger for the answer's way.  `max_open`: calls at a time.
+    `ledger` None: no key outlives its call, where publishers name each try anew and no disk survives; what
+    may run twice then rests on the module and on what the sockets prove.
     """
 
     def __init__(
         self,
         told: io.Settings,
-        ledger: Ledger,
+        ledger: Ledger | None,
         *,
         seed: int = 1,
         margin_us: int = 5_000,
@@ -234,7 +236,7 @@
         self._numbers += 1
         call = Call(f"c{self._numbers}", trigger, band, self._now + left, False)
         intent = None
-        if band.effect is not Effect.SAFE:
+        if band.effect is not Effect.SAFE and self.ledger is not None:
             # The ledger is asked first, whatever else bars the call: a key that has run is not refused.
             if (intent := self._claim(call, barred)) is None:
                 return None
@@ -488,7 +490,8 @@
                 self._leave(call)
 
     def _ledger_down(self, why: str) -> None:
-        self.ledger.shut_why = why
+        if self.ledger is not None:
+            self.ledger.shut_why = why
         self._log("error", "ledger-down", why=why)
         for call in list(self._awaiting.values()):
             self._give_up(call)
@@ -691,7 +694,7 @@
     def _settle(self, call: Call, answer: Answer, waiters: list[Waiter] | None = None) -> None:
         """The one final answer of a call, to all that wait for it, and into the ledger."""
         call.settled = True
-        if call.claimed:
+        if call.claimed and self.ledger is not None:
             record = self.ledger.settle(self._wall, call.trigger.tenant, call.trigger.key, answer)
             if record is not None and not self.ledger.shut_why:
                 self._write(record)
@@ -739,8 +742,8 @@
     router = engine.router
     return {
         "calls": engine.open,
-        "ledger": len(engine.ledger),
-        "ledger_bytes": engine.ledger.bytes,
+        "ledger": len(engine.ledger) if engine.ledger else 0,
+        "ledger_bytes": engine.ledger.bytes if engine.ledger else 0,
         "timers": len(engine._wheel) if engine._wheel else 0,
         "sources": len(engine._of),
         "orders": len(engine._orders),
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -15,14 +15,13 @@
 import socket
 import subprocess
 import time
-from collections import Counter
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import prometheus_client
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
-from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.ioloop import PeriodicCallback
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
@@ -41,13 +40,12 @@
 from swiftwell.fronts.mqtt.peer import Peer
 from swiftwell.fronts.mqtt.session import Session
 from swiftwell.fronts.mqtt.subscriber import BrokerLink, Subscriber
-from swiftwell.fronts.trigger import Trigger
 from swiftwell.gateway import ports
-from swiftwell.gateway.clock import Clock
 from swiftwell.gateway.effects import Bounds, Ledger
 from swiftwell.gateway.engine import Engine, tables
 from swiftwell.gateway.journal import Journal
 from swiftwell.gateway.logs import Logs
+from swiftwell.gateway.turning import Turning
 from swiftwell.handover import snapshot
 from swiftwell.handover.books import Books
 from swiftwell.http.http1 import Request, Response
@@ -60,26 +58,24 @@
 SWEEP_S = 1.0
 
 
-class Gateway:
+class Gateway(Turning):
     """A running gateway.
 
     `make` builds the module's router; a benchmark puts another in its place.
     """
 
     def __init__(self, site: Site, logs: Logs, make: object = None) -> None:
-        self.site, self.logs = site, logs
-        self.clock = Clock()
-        self._loop = IOLoop.current()
+        self.site = site
+        told = site.told()
+        super().__init__(logs, {band.name: band.effect for band in told.classes})
         self._chance = random.Random(f"{site.name}/{self.clock.wall_us()}")
         keep = site.ledger
         self.ledger = Ledger(Bounds(keep.keep_s * 1_000_000, keep.entries, keep.bytes))
         seed = self._chance.getrandbits(32)
-        told = site.told()
         extra = {} if make is None else {"make": make}
         self.engine = Engine(
             told, self.ledger, seed=seed, margin_us=site.margin_ms * 1_000, max_open=site.open_calls, **extra
         )
-        self._effects = {band.name: band.effect for band in told.classes}
         w = site.workers
         bounds = LinkBounds(
             w.connections, w.connect_ms / 1e3, w.answer_bytes, order_s=w.order_timeout_ms / 1e3
@@ -89,7 +85,6 @@
         self._service: sources.ListService | None = None
         self._lock = -1
         self.books = Books(Path(site.state), self.log, self._loop.add_callback)
-        self.frozen = False  # another process is being given what this one has
         self.resting: list[IOStream] = []
         self.adopted: Any = None
         self._opened: dict[str, list[socket.socket]] = {}  # listening already, nothing accepted yet
@@ -98,114 +93,22 @@
         self.endpoint: Endpoint | None = None
         self.subscribers: list[Subscriber] = []
         self.amqp: list[AmqpLink] = []
-        self._inputs: list[ports.Input] = []
-        self._stepping = False
-        self._timer: object = None
-        self._timer_us = 0
         self._tasks: list[asyncio.Task] = []
         self._health: Server | None = None
         self.health_port = self.listener_port = 0
         self._sweeper = PeriodicCallback(self._sweep, SWEEP_S * 1_000)
         self.ended = asyncio.Event()
         self._stopping = False
-        self.replies: Counter[tuple[str, str, str]] = Counter()  # class, kind, reason
-
-    # What the fronts see of us.
-
-    def submit(self, trigger: Trigger) -> None:
-        """Take a trigger."""
-        self.put(ports.Arrive(trigger))
-
-    def gone(self, source: str) -> None:
-        """A front's peer is gone for good."""
-        self.put(ports.Gone(source))
-
-    def wall_ms(self) -> float:
-        """Anchored wall time."""
-        return self.clock.wall_ms()
-
-    def effect(self, band: str) -> io.Effect | None:
-        """What a repeat of a class does."""
-        return self._effects.get(band)
-
-    def load(self) -> tuple[int, int]:
-        """Calls at workers, and calls that wait."""
-        return self.engine.load()
-
-    def log(self, level: str, event: str, **fields: object) -> None:
-        """A line for the log."""
-        self.logs.write(level, event, **fields)
 
-    # Turning.
-
-    def put(self, given: ports.Input) -> None:
-        """Something happened; the engine takes it in this turn of the loop."""
-        self._inputs.append(given)
-        if not self._stepping and not self.frozen:
-            self._stepping = True
-            self._loop.add_callback(self._step)
-
-    def _step(self) -> None:
-        self._stepping = False
-        if self.frozen:
-            return
-        inputs, self._inputs = self._inputs, []
-        for out in self.engine.step(self.clock.now_us(), self.clock.wall_us(), inputs):
-            try:
-                self._carry(out)
-            except Exception as error:  # one output's trouble is not the others'
-                self.log(
-                    "error",
-                    "output-failed",
-                    output=type(out).__name__,
-                    error=f"{type(error).__name__}: {error}",
-                )
+    def _stepped(self) -> None:
         if self.journal:
             self.journal.flush()
-        self._arm()
-
-    def _arm(self) -> None:
-        due = self.engine.next_us()
-        if due is None or (self._timer is not None and self._timer_us <= due):
-            return
-        if self._timer is not None:
-            self._loop.remove_timeout(self._timer)
-        self._timer_us = due
-        self._timer = self._loop.call_later(max(0.0, (due - self.clock.now_us()) / 1e6), self._due)
-
-    def _due(self) -> None:
-        self._timer = None
-        if not self._stepping:
-            self._step()
-
-    def wake(self) -> None:
-        """Step after a rest."""
-        self._timer = None
-        self._step()
 
     def _carry(self, out: ports.Output) -> None:
-        match out:
-            case ports.Start():
-                self.link.start(out)
-            case ports.Reply():
-                trigger = out.trigger
-                band = trigger.band if trigger.band in self._effects else ""
-                self.replies[band, out.answer.kind.value, out.answer.reason] += 1
-                trigger.ref.connection[0].replied(trigger, out.answer)  # type: ignore[attr-defined]
-            case ports.Accepted():
-                out.trigger.ref.connection[0].accepted(out.trigger)  # type: ignore[attr-defined]
-            case ports.Write() if self.journal:
-                self.journal.append(out.record)
-            case ports.Abandon():
-                self.link.abandon(out)
-            case ports.Order():
-                self.link.order(out)
-            case ports.Ask():
-                self.link.ask(out)
-            case ports.Line():
-                self.log(out.level, out.event, **dict(out.fields))
-            case ports.AskList():
-                pass  # every source here tells of changes by itself
+        if isinstance(out, ports.Write) and self.journal:
+            self.journal.append(out.record)
+        else:
+            super()._carry(out)
 
     # Start and end.
 
--- /dev/null
+++ b/swiftwell/platform/__main__.py
@@ -0,0 +1,12 @@
+"""`python -m swiftwell.platform`: signals are caught before anything that takes time is imported."""
+
+import signal
+
+EARLY: list[int] = []  # signals that came before the router could take them
+for _number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+    signal.signal(_number, lambda number, frame: EARLY.append(number))
+
+from swiftwell.platform.node import main  # noqa: E402
+
+if __name__ == "__main__":
+    raise SystemExit(main(EARLY))
--- /dev/null
+++ b/swiftwell/platform/node.py
@@ -0,0 +1,200 @@
+"""One router on the platform: joins the FastCGI front, the engine, the RESP link and the journal service."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+import time
+from pathlib import Path
+
+import uvloop
+from tornado.ioloop import PeriodicCallback
+
+from swiftwell.discovery import journal
+from swiftwell.fronts.fastcgi.listener import Listener
+from swiftwell.fronts.fastcgi.request import Contract
+from swiftwell.gateway import ports
+from swiftwell.gateway.engine import Engine, tables
+from swiftwell.gateway.logs import Logs
+from swiftwell.gateway.turning import Turning
+from swiftwell.platform.limits import divide
+from swiftwell.settings import platform as config
+from swiftwell.settings.platform import ConfigError, Platform
+from swiftwell.workers.resp.link import RespBounds, RespLink
+
+MARGIN_US = 5_000  # us kept back of each request's time for the answer's way to the client
+TAKING_S = (
+    0.75  # s after SIGTERM for which requests are taken: by 0.7 s the last has come, by the platform's word
+)
+QUIET_S = 0.05  # s without anything open after which a stopping router ends: its last answers have gone out
+LONGEST_S = 3.0  # s: the longest deadline that the platform reckons with after SIGTERM
+SWEEP_S = 0.5  # s between looks at old connections and orders
+LAG_S = 0.05  # s between two looks at the clock, for the lag of the loop
+FIGURES_S = 5.0  # s between two lines of figures
+
+
+class Node(Turning):
+    """A running router."""
+
+    def __init__(self, told: Platform, file: str, logs: Logs) -> None:
+        super().__init__(logs, {band.name: band.effect for band in told.told.classes})
+        self.platform, self._file = told, file
+        self.engine = Engine(told.told, None, seed=told.seed, margin_us=MARGIN_US, max_open=told.most_open)
+        share = divide(told.sockets)
+        self.addresses = journal.Addresses()
+        bounds = RespBounds(share.workers, told.streams, told.dial_us / 1e6, told.idle_us / 1e6)
+        self.link = RespLink(bounds, self.addresses.get, self.put, self.log)
+        contract = Contract.of(told.told)
+        self.front = Listener(self, contract, share.clients, lambda: self.healthy)
+        frames = lambda: journal.Frames(told.zones, told.kinds)  # noqa: E731
+        self.journal = journal.Client(told.journal, frames, self._listed, self.log, random.Random(told.seed))
+        self.ended = asyncio.Event()
+        self.stopping = False
+        self._tasks: list[asyncio.Task] = []
+        self._ticks = [
+            PeriodicCallback(self._sweep, SWEEP_S * 1_000),
+            PeriodicCallback(self._lag, LAG_S * 1_000),
+            PeriodicCallback(self._figures, FIGURES_S * 1_000),
+        ]
+        self._looked, self._worst = 0.0, 0.0
+
+    @property
+    def healthy(self) -> bool:
+        """Whether requests can be served: workers are known and nothing ends."""
+        return not self.stopping and len(self.addresses) > 0
+
+    async def start(self) -> None:
+        """Open everything; raises OSError."""
+        self.journal.start(self.platform.known)
+        self._tasks.append(asyncio.ensure_future(self.journal.run()))
+        host, port = self.platform.listen
+        port = self.front.open(host, port)
+        self._looked = time.monotonic()
+        for tick in self._ticks:
+            tick.start()
+        self.log("info", "listening", address=f"{host}:{port}", workers=len(self.addresses))
+
+    def on_signals(self, early: list[int]) -> None:
+        """Take SIGTERM, SIGINT and SIGHUP, also those that came before."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if signal.SIGHUP in early:
+            self.reload()
+        if signal.SIGTERM in early or signal.SIGINT in early:
+            self.stop()
+
+    def _listed(self, event: journal.Event) -> None:
+        for worker in self.addresses.take(event):
+            self.link.gone(worker)
+        self.put(ports.Listed(journal.members(event, self.clock.started_us)))
+
+    def _stepped(self) -> None:
+        self.front.flush()
+        self.link.flush()
+
+    def reload(self) -> None:
+        """SIGHUP: the journal service may have moved; anything else is told at the next start."""
+        try:
+            told = config.read(Path(self._file).read_bytes(), self._file)
+        except (OSError, ConfigError) as error:
+            self.log("error", "configuration-kept", why=str(error))
+            return
+        self.journal.start(told.known)
+        moved = told.journal != self.journal.at
+        self.log("info", "configuration", journal=f"{told.journal[0]}:{told.journal[1]}", moved=moved)
+        self.journal.move(told.journal)
+
+    def stop(self) -> None:
+        """SIGTERM: go on until nothing more can come, then end."""
+        if not self.stopping:
+            self.stopping = True
+            self.log("info", "stopping", open=self.engine.open)
+            self._tasks.append(asyncio.ensure_future(self._stop()))
+
+    async def _stop(self) -> None:
+        began = time.monotonic()
+        await asyncio.sleep(TAKING_S)
+        self.put(ports.Stop())  # refused from here on: harmless for the client, and it ends
+        while self.front.ids and time.monotonic() - began < TAKING_S + LONGEST_S:
+            await asyncio.sleep(QUIET_S)
+        await asyncio.sleep(QUIET_S)
+        for tick in self._ticks:
+            tick.stop()
+        self.front.close()
+        self.link.close()
+        self._figures()
+        self.log("info", "stopped")
+        self.ended.set()
+
+    def _sweep(self) -> None:
+        self.link.sweep()
+        self.logs.sweep()
+        self.stir()
+
+    def _lag(self) -> None:
+        now = time.monotonic()
+        self._worst = max(self._worst, now - self._looked - LAG_S)
+        self._looked = now
+
+    def _figures(self) -> None:
+        """One line of all that shows how the router does."""
+        front = self.front
+        kinds: dict[str, int] = {}
+        for (_, kind, reason), count in self.replies.items():
+            kinds[f"{kind}/{reason}"] = kinds.get(f"{kind}/{reason}", 0) + count
+        self.log(
+            "info", "figures", lag_ms=round(self._worst * 1e3, 1), cpu_s=round(time.process_time(), 2),
+            memory_mb=_memory_mb(), descriptors=_descriptors(), clients=len(front.connections),
+            replies=kinds, turned=dict(front.turned.most_common(8)), front=dict(front.counts),
+            link=dict(self.link.counts), sizes=tables(self.engine) | self.link.sizes(),
+            counts=dict(self.engine.counts), held=self.journal.feed.held, asked=self.journal.connections,
+        )  # fmt: skip
+        self._worst = 0.0
+
+
+def _memory_mb() -> float:
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return round(int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6, 1)
+    except OSError:
+        return 0.0
+
+
+def _descriptors() -> int:
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        return 0
+
+
+def main(early: list[int] | None = None) -> int:
+    """Run until told to end; the exit code."""
+    file = os.environ.get("EDGE_CONFIG", "")
+    if not file:
+        print("swiftwell: EDGE_CONFIG is not set: expected the path of the configuration", file=sys.stderr)
+        return 2
+    try:
+        told = config.read(Path(file).read_bytes(), file)
+    except (OSError, ConfigError) as error:
+        print(f"swiftwell: {error}", file=sys.stderr)
+        return 2
+    return uvloop.run(_serve(told, file, early or []))
+
+
+async def _serve(told: Platform, file: str, early: list[int]) -> int:
+    node = Node(told, file, Logs("json"))
+    try:
+        await node.start()
+    except OSError as error:
+        print(f"swiftwell: {file}: listen: {error}", file=sys.stderr)
+        return 2
+    node.on_signals(early)
+    gc.freeze()  # what stands by now stays: full collections need not walk it
+    await node.ended.wait()
+    return 0
--- /dev/null
+++ b/swiftwell/workers/resp/__init__.py
@@ -0,0 +1,1 @@
+"""Workers that speak RESP: codec, connections of many requests, the link."""
--- /dev/null
+++ b/swiftwell/workers/resp/link.py
@@ -0,0 +1,228 @@
+"""The link to workers that speak RESP: the seam of workers/link, over connections of many requests.
+
+Requests are spread over as many connections as the descriptors allow, as a connection that ends takes along
+what is on it.  An attempt never goes where its id is known already, so that no late answer is taken for its
+own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tornado.ioloop import IOLoop
+
+from swiftwell.fronts.trigger import Ran
+from swiftwell.gateway import ports
+from swiftwell.interface import Status
+from swiftwell.workers.resp import codec
+from swiftwell.workers.resp.codec import Answer
+from swiftwell.workers.resp.connection import Connection, Job
+
+IDLE_PART = 0.7  # of the time after which a worker closes an unused connection: ours go well before
+ORDER_S = 10.0  # s until an order without an answer is given up, where the settings tell no time
+LEAST_EACH = 2  # connections to a worker, whatever the descriptors: one may be silent
+MOST_EACH = 24  # connections to a worker: more than the attempts that the module lets out to one
+
+
+@dataclass(frozen=True, slots=True)
+class RespBounds:
+    """What the link allows."""
+
+    connections: int  # to all workers
+    streams: int = 32  # requests on a connection
+    connect_s: float = 0.25
+    idle_s: float = 30.0
+    order_s: float = ORDER_S
+
+
+@dataclass(slots=True, eq=False)
+class _Worker:
+    connections: list[Connection] = field(default_factory=list)
+    gone: bool = False
+
+
+class RespLink:
+    """All connections to workers.
+
+    `address` says where a worker is; `put` takes what happened to the engine.
+    """
+
+    def __init__(
+        self,
+        bounds: RespBounds,
+        address: Callable[[str], tuple[str, int] | None],
+        put: Callable[[ports.Input], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._bounds, self._address, self._put, self._log = bounds, address, put, log
+        self._workers: dict[str, _Worker] = {}
+        self._jobs: dict[tuple[str, int], Job] = {}
+        self._orders: dict[int, Job] = {}
+        self._dirty: dict[Connection, None] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._loop = IOLoop.current()
+        self.open = 0
+        self.counts = dict.fromkeys(("opened", "spoilt", "ended", "refused"), 0)
+
+    # What the engine wants.
+
+    def start(self, act: ports.Start) -> None:
+        """Begin an attempt; its wire id is the client's own."""
+        key, trigger, began = (act.id, act.number), act.trigger, time.monotonic()
+
+        def end(status: Status, ran: Ran, body: bytes = b"", found: int = 0, crowd: int = 0) -> None:
+            self._jobs.pop(key, None)
+            latency = int((time.monotonic() - began) * 1e6)
+            self._put(ports.AttemptEnd(act.id, act.number, status, ran, body, latency, found, crowd))
+
+        def answered(answer: Answer) -> None:
+            v = codec.verdict(answer[1], answer[2])
+            end(v.status, v.ran, answer[3] if v.status is Status.OK else b"", v.found, v.crowd)
+
+        id_ = trigger.key.encode()
+        data = codec.run(id_, trigger.band, trigger.function, act.left_us, trigger.payload)
+        job = Job(act.worker, id_, data, answered, end, True, began=began)
+        self._jobs[key] = job
+        self._begin(job)
+
+    def abandon(self, act: ports.Abandon) -> None:
+        """Stop waiting for an attempt."""
+        job = self._jobs.get((act.id, act.number))
+        if job and not job.over:
+            written = job.written
+            if job.connection:
+                job.connection.give_up(job)
+            job.over = True
+            job.ended(*((act.status, Ran.MAYBE) if written else (Status.MOOT, Ran.NEVER)))
+
+    def order(self, act: ports.Order) -> None:
+        """Send an order to load, or a question."""
+        number, began = act.number, time.monotonic()
+
+        def end(status: Status, ran: Ran, copies: int = 0, heard: bool = False) -> None:
+            self._orders.pop(number, None)
+            latency = int((time.monotonic() - began) * 1e6)
+            self._put(ports.OrderEnd(number, status, copies, latency, answered=heard))
+
+        def answered(answer: Answer) -> None:
+            status, copies = codec.stands(answer[1], answer[2])
+            end(status, Ran.YES, copies, True)
+
+        tag = b"o%d" % number
+        job = Job(act.worker, tag, codec.hold(tag, act.function, act.copies), answered, end, False)
+        job.began = began
+        self._orders[number] = job
+        self._begin(job)
+
+    def ask(self, act: ports.Ask) -> None:
+        """Nobody is asked here: there is no saved list to check."""
+        self._put(ports.Asked(act.worker, False))
+
+    # Connections.
+
+    def _begin(self, job: Job) -> None:
+        worker = self._workers.setdefault(job.worker, _Worker())
+        connection = self._pick(job, worker)
+        if connection is None:
+            self.counts["refused"] += 1
+            job.over = True
+            job.ended(Status.CONNECT_FAILED, Ran.NEVER)
+        else:
+            connection.put(job)
+
+    def _pick(self, job: Job, worker: _Worker) -> Connection | None:
+        """The connection with the least on it; a new one sooner than a second request on one."""
+        address, best = self._address(job.worker), None
+        for one in worker.connections:
+            usable = not one.over and not one.doubted and one.address == address and job.id not in one.known
+            if (
+                usable
+                and len(one.jobs) < self._bounds.streams
+                and (best is None or (len(one.jobs), not one.up) < (len(best.jobs), not best.up))
+            ):
+                best = one
+        if best is not None and not best.jobs:
+            return best
+        if address is not None and self._room(worker):
+            return self._open(job.worker, worker, address)
+        return best
+
+    def _room(self, worker: _Worker) -> bool:
+        each = max(LEAST_EACH, min(MOST_EACH, self._bounds.connections // max(1, len(self._workers))))
+        return len(worker.connections) < each and self.open < self._bounds.connections
+
+    def _open(self, name: str, worker: _Worker, address: tuple[str, int]) -> Connection | None:
+        try:
+            connection = Connection(self, name, address)
+        except OSError as error:  # no descriptor left
+            self._log("error", "no-descriptor", why=str(error))
+            return None
+        worker.connections.append(connection)
+        self.open += 1
+        self.counts["opened"] += 1
+        task = asyncio.ensure_future(connection.run(self._bounds.connect_s))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return connection
+
+    def closed(self, connection: Connection, why: str) -> None:
+        """A connection has ended."""
+        self.open -= 1
+        self.counts["spoilt" if why else "ended"] += 1
+        if why:
+            self._log("warning", "bad-answer", worker=connection.worker, why=why)
+        self._dirty.pop(connection, None)
+        worker = self._workers.get(connection.worker)
+        if worker:
+            worker.connections.remove(connection)
+            if worker.gone and not worker.connections:
+                del self._workers[connection.worker]
+
+    def dirty(self, connection: Connection) -> None:
+        """Something is to be written at the end of the turn."""
+        self._dirty[connection] = None
+
+    def flush(self) -> None:
+        """The end of a turn: one write for each connection that has something."""
+        dirty, self._dirty = self._dirty, {}
+        for connection in dirty:
+            connection.flush()
+
+    def gone(self, worker_id: str) -> None:
+        """A worker has left the list: its connections go once nothing is on them."""
+        worker = self._workers.get(worker_id)
+        if worker:
+            worker.gone = True
+            if not worker.connections:
+                del self._workers[worker_id]
+
+    def sweep(self) -> None:
+        """Close what was not used for long or is of no use, and give up old orders."""
+        now = time.monotonic()
+        for name, worker in list(self._workers.items()):
+            address = self._address(name)
+            for one in list(worker.connections):
+                stale = one.used < now - IDLE_PART * self._bounds.idle_s
+                if not one.jobs and (stale or one.doubted or worker.gone or one.address != address):
+                    one.close()
+        for job in [job for job in self._orders.values() if job.began < now - self._bounds.order_s]:
+            if job.connection and not job.over:
+                job.connection.give_up(job)
+            job.ended(Status.TIMEOUT, Ran.MAYBE)
+
+    def sizes(self) -> dict[str, int]:
+        """What stands now."""
+        return {
+            "worker_connections": self.open,
+            "worker_jobs": len(self._jobs),
+            "worker_orders": len(self._orders),
+            "linked_workers": len(self._workers),
+        }
+
+    def close(self) -> None:
+        """End everything."""
+        for task in list(self._tasks):
+            task.cancel()
