A reset of one connection is no restart of its worker; tests of the platform's packages

At fault: Connection._end gave RESET for every end of a connection, and the module takes RESET for a start of the process. Now the link opens a new connection: where it comes up at once the process lives and the attempts end as errors that may have run.

--- a/swiftwell/discovery/journal.py
+++ b/swiftwell/discovery/journal.py
@@ -86,7 +86,7 @@
         except ValueError as error:
             raise ValueError(f"entries.{at}: {error}") from None
     if events and events[-1].number != last:
-        raise ValueError(f"pos is {last}, the last entry is {events[-1].number}")
+        raise ValueError(f"pos is {last}, expected {events[-1].number}, the last entry's")
     return tuple(events)
 
 
--- a/swiftwell/settings/platform.py
+++ b/swiftwell/settings/platform.py
@@ -119,8 +119,9 @@
         raise reader.wrong("settings.lanes", "at least one class")
     zones = tuple(filter(None, pairs.get("failure-domains", "").split(",")))
     kinds = tuple(filter(None, pairs.get("flavors", "").split(",")))
+    listed = reader.at("known", dict, "an object")
     try:
-        known = journal.known(reader.at("known", dict, "an object"))
+        known = journal.known(listed)
     except ValueError as error:
         raise ConfigError(f"{file}: known: {error}") from None
     day_ms = 86_400_000
--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -40,8 +40,8 @@
 class Owner(Protocol):
     """The link, as a connection sees it."""
 
-    def closed(self, connection: Connection, why: str) -> None:
-        """A connection has ended; nothing is on it any more."""
+    def closed(self, connection: Connection, why: str, jobs: list[Job]) -> None:
+        """A connection has ended; these were on it.  `why` where its bytes were spoilt."""
 
     def dirty(self, connection: Connection) -> None:
         """Something is to be written at the end of the turn."""
@@ -55,6 +55,7 @@
         self.jobs: dict[bytes, Job] = {}
         self.known: dict[bytes, None] = {}
         self.up = self.over = self.doubted = False
+        self.opened: asyncio.Future[bool] = asyncio.get_running_loop().create_future()  # whether it came up
         self.used, self.heard = time.monotonic(), 0.0  # heard: bytes of the worker's
         self._parser = Parser()
         self._out: list[bytes] = []
@@ -68,11 +69,12 @@
 
     async def run(self, connect_s: float) -> None:
         """Connect, and read until the connection ends."""
-        why, spoilt = "", False
+        why = ""
         try:
             await asyncio.wait_for(self._stream.connect(self.address), connect_s)
             self._stream.set_nodelay(True)
             self.up = True
+            self.opened.set_result(True)
             if self._out:
                 self.owner.dirty(self)
                 self.flush()
@@ -84,9 +86,9 @@
         except (OSError, TimeoutError, StreamClosedError):
             pass
         except RespError as error:
-            why, spoilt = str(error), True
+            why = str(error)
         finally:
-            self._end(why, Status.ERROR if spoilt else Status.RESET)
+            self._end(why)
 
     def put(self, job: Job) -> None:
         """A job goes out at the end of this turn, or once the connection is up."""
@@ -144,14 +146,10 @@
         """End the connection."""
         self._stream.close()
 
-    def _end(self, why: str, status: Status) -> None:
+    def _end(self, why: str) -> None:
         self.over = True
         self._stream.close()
+        if not self.opened.done():
+            self.opened.set_result(False)
         jobs, self.jobs = list(self.jobs.values()), {}
-        self.owner.closed(self, why)
-        for job in jobs:
-            job.over = True
-            if job.written:
-                job.ended(status, Ran.MAYBE)
-            else:
-                job.ended(Status.CONNECT_FAILED, Ran.NEVER)
+        self.owner.closed(self, why, jobs)
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -41,6 +41,7 @@
 @dataclass(slots=True, eq=False)
 class _Worker:
     connections: list[Connection] = field(default_factory=list)
+    judging: Connection | None = None  # shows whether the process lives
     gone: bool = False
 
 
@@ -168,7 +169,7 @@
         task.add_done_callback(self._tasks.discard)
         return connection
 
-    def closed(self, connection: Connection, why: str) -> None:
+    def closed(self, connection: Connection, why: str, jobs: list[Job]) -> None:
         """A connection has ended."""
         self.open -= 1
         self.counts["spoilt" if why else "ended"] += 1
@@ -180,6 +181,40 @@
             worker.connections.remove(connection)
             if worker.gone and not worker.connections:
                 del self._workers[connection.worker]
+        for job in jobs:
+            job.connection = None
+        if why:
+            self._lost(jobs, lives=True)
+        elif not connection.up:
+            self._lost(jobs, lives=False)
+        elif jobs:
+            self._judge(connection.worker, jobs)
+
+    def _judge(self, name: str, jobs: list[Job]) -> None:
+        """Whether a process died or a connection broke: the module takes a reset for a start, cold for long.
+
+        All connections of a process that died are reset and new ones refused until it is started anew; where
+        one comes up at once the process lives, and only the attempts on the old one are lost.
+        """
+        worker, address = self._workers.get(name), self._address(name)
+        if worker and (worker.judging is None or worker.judging.over):
+            worker.judging = self._open(name, worker, address) if address and self._room(worker) else None
+        if worker and worker.judging:
+            worker.judging.opened.add_done_callback(lambda opened: self._lost(jobs, opened.result()))
+        else:
+            self._lost(jobs, lives=False)
+
+    @staticmethod
+    def _lost(jobs: list[Job], lives: bool) -> None:
+        """Attempts that ended with their connection."""
+        for job in jobs:
+            if job.over:  # given up meanwhile
+                continue
+            job.over = True
+            if job.written:
+                job.ended(Status.ERROR if lives else Status.RESET, Ran.MAYBE)
+            else:
+                job.ended(Status.MOOT if lives else Status.CONNECT_FAILED, Ran.NEVER)
 
     def dirty(self, connection: Connection) -> None:
         """Something is to be written at the end of the turn."""
--- /dev/null
+++ b/tests/platformbench.py
@@ -0,0 +1,271 @@
+"""A router of the platform in this process on free ports; workers, clients and the journal service are
+scripted by the test.  Commands of workers are read by a reader of its own, not by the codec under test."""
+
+import asyncio
+import io as text
+import json
+import struct
+from contextlib import asynccontextmanager
+
+from swiftwell.fronts.fastcgi import codec
+from swiftwell.gateway.logs import Logs
+from swiftwell.platform.node import Node
+from swiftwell.settings import platform as config
+
+KEY = "7f3a9c21e0b4d655"
+HOST = "127.0.0.1"
+
+
+def settings(**more):
+    """The settings as the platform nests them."""
+
+    def band(name, effect):
+        return {"name": name, "effect": effect, "target-ms": 400.0, "deadline-ms": 1500.0, "value": 2.0}
+
+    return {
+        "balancers": 1,
+        "position": 0,
+        "tick-ms": 1.0,
+        "customers": [{"name": "acme", "portion": 1.0, "quota-rps": 10.0}],
+        "failure-domains": ["east"],
+        "flavors": ["std", "big"],
+        "locality": "east",
+        "discovery": "pushed",
+        "lanes": [band("lectura", "idempotent"), band("consigna", "at_most_once")],
+        "family-info": {"idle-life-ms": 5000.0, "may-load": False, "memory-mb-by-kind": [8000.0, 9000.0]},
+        "limits": {"cancel": True, "max-attempts": 3, "retry-after": True, "max-retry-after-ms": 2000.0,
+                   "streams-per-conn": 32, "conn-idle-ms": 30000.0, "dial-timeout-ms": 250.0},
+        "rules": {"cold-ms": 1000.0, "cold-share": 0.2, "fall-multiple": 2.0, "overload-for-ms": 3000.0},
+        **more,
+    }  # fmt: skip
+
+
+def endpoint(number, port, status="up", host=HOST):
+    return {"address": f"{host}:{port}", "group": 0, "name": f"s-{number:08x}", "since_ms": 0,
+            "status": status, "type": "std", "weight": 1.0, "zone": "east"}  # fmt: skip
+
+
+def document(ports=(), journal=9, sockets=256, **more):
+    """EDGE_CONFIG for workers at these ports, numbered from 1."""
+    endpoints = [endpoint(number, port) for number, port in enumerate(ports, 1)]
+    entries = [{"pos": 1, "hosts": {"index": 0, "snapshot": True, "endpoints": endpoints}}]
+    return {
+        "name": "n0", "listen": f"{HOST}:1", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "journal": f"{HOST}:{journal}", "known": {"pos": 1, "entries": entries},
+        "settings": settings(), **more,
+    }  # fmt: skip
+
+
+def run(main):
+    """Run a test's coroutine with a bound on its time."""
+
+    async def bounded():
+        async with asyncio.timeout(40):
+            await main
+
+    asyncio.run(bounded())
+
+
+@asynccontextmanager
+async def router(folder, ports=(), **more):
+    """A router that knows workers at these ports."""
+    file = folder / "config.json"
+    found = document(ports, **more)
+    file.write_text(json.dumps(found))
+    log = text.StringIO()
+    told = config.read(file.read_bytes(), str(file))
+    node = Node(told, str(file), Logs("json", "debug", 1_000, log))
+    node.platform = _any_port(told)
+    node.lines, node.file = log, file
+    await node.start()
+    node.port = next(iter(node.front._sockets.values())).getsockname()[1]
+    try:
+        yield node
+    finally:
+        node.front.close()
+        node.link.close()
+        for task in node._tasks:
+            task.cancel()
+        for tick in node._ticks:
+            tick.stop()
+        await asyncio.sleep(0)
+
+
+def _any_port(told):
+    from dataclasses import replace
+
+    return replace(told, listen=(HOST, 0))
+
+
+class Worker:
+    """A worker that answers commands as `play` says: it takes (worker, connection, words) and may write."""
+
+    def __init__(self, play):
+        self.play, self.got, self.connections = play, [], 0
+        self.writers = []
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while True:
+                words = []
+                for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
+                    size = int((await reader.readuntil(b"\r\n"))[1:])
+                    words.append((await reader.readexactly(size + 2))[:-2])
+                self.got.append(words)
+                await self.play(self, writer, words)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def runs(self):
+        """The requests that came, without KILL and the like."""
+        return [words for words in self.got if words[0] == b"FN"]
+
+
+def said(id_, word=b"DONE", fields=b"-", body=b""):
+    """An answer, in bytes."""
+    return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(one), one) for one in (id_, word, fields, body))
+
+
+async def echo(worker, writer, words):
+    """Every request is served with its own body."""
+    if words[0] == b"FN":
+        writer.write(said(words[1], b"DONE", b"why=reused", b"did " + words[3]))
+    elif words[0] == b"SPAWN":
+        writer.write(said(words[1], b"DONE", b"instances=1"))
+
+
+def fields(id_, band="lectura", wait="1000", **more):
+    """The parameters of a usual request; a value of None leaves one out."""
+    found = {
+        "SCRIPT_NAME": f"/api/v2/{band}", "REQUEST_METHOD": "POST", "HTTP_REQ_ID": id_,
+        "HTTP_REQ_WAIT_MS": wait, "HTTP_REQ_OWNER": "acme", "HTTP_REQ_KEY": KEY, "HTTP_REQ_COST": "8.2",
+        "HTTP_X_TAGS": "memory_mb:512;lanes:2;load_ms:300", **more,
+    }  # fmt: skip
+    return {name: value for name, value in found.items() if value is not None}
+
+
+def params(found):
+    return b"".join(
+        codec.pair(name.encode(), value if isinstance(value, bytes) else value.encode())
+        for name, value in found.items()
+    )
+
+
+def request(number, found, body=b""):
+    """A whole request, in bytes."""
+    out = [codec.begin(number), codec.record(codec.PARAMS, number, params(found))]
+    out.append(codec.record(codec.PARAMS, number, b""))
+    if body:
+        out.append(codec.record(codec.STDIN, number, body))
+    return b"".join([*out, codec.record(codec.STDIN, number, b"")])
+
+
+class Front:
+    """A connection of a front server."""
+
+    def __init__(self, port):
+        self.port, self._parts, self.done, self.ends = port, {}, {}, {}
+
+    async def __aenter__(self):
+        self.reader, self.writer = await asyncio.open_connection(HOST, self.port)
+        return self
+
+    async def __aexit__(self, *_):
+        self.writer.close()
+
+    async def read(self, until):
+        """Read until a condition holds or the router closes; whether it holds."""
+        while not until():
+            try:
+                version, kind, number, length, padding = struct.unpack(
+                    ">BBHHBx", await self.reader.readexactly(8)
+                )
+                content = (await self.reader.readexactly(length + padding))[:length]
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return until()
+            assert version == 1
+            if kind == codec.STDOUT:
+                self._parts[number] = self._parts.get(number, b"") + content
+            elif kind == codec.END:
+                assert number not in self.done, "a second answer"
+                self.done[number] = self._parts.pop(number, b"")
+                self.ends[number] = content[4]
+        return True
+
+    async def ask(self, number, found, body=b""):
+        """Status, fields and body of the answer; status 0 where the router closed."""
+        self.writer.write(request(number, found, body))
+        return await self.answer(number)
+
+    async def answer(self, number):
+        if not await self.read(lambda: number in self.done):
+            return 0, {}, b""
+        raw = self.done.pop(number)
+        if not raw:
+            return -self.ends[number], {}, b""
+        head, _, body = raw.partition(b"\r\n\r\n")
+        lines = dict(line.split(": ", 1) for line in head.decode().split("\r\n"))
+        return int(lines["Status"].split()[0]), lines, body
+
+    async def closed(self):
+        """Whether the router closes the connection."""
+        await self.read(lambda: False)
+        return self.reader.at_eof()
+
+
+class Journal:
+    """The journal service: `serve` takes (journal, number asked for, writer) at each connection."""
+
+    def __init__(self, serve):
+        self.serve, self.asked = serve, []
+        self.writers = []
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        self.writers.append(writer)
+        try:
+            number = int.from_bytes(await reader.readexactly(8), "big")
+            self.asked.append(number)
+            await self.serve(self, number, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def frame(number, kind=0, records=()):
+    """A frame; records are (id, port, state)."""
+    payload = b"".join(
+        struct.pack(">I4sHBBBHIQ", id_, bytes((127, 0, 0, 1)), port, state, 0, 0, 0, 1000, 0)
+        for id_, port, state in records
+    )
+    return struct.pack(">IQB", 9 + len(payload), number, kind) + payload
+
+
+async def until(holds, within=5.0):
+    """Wait until a condition holds."""
+    for _ in range(int(within / 0.01)):
+        if holds():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("it never came to hold")
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,455 @@
+"""The router of the platform on loopback sockets: clients, workers and the journal service are scripted."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from platformbench import (
+    HOST,
+    Front,
+    Journal,
+    Worker,
+    document,
+    echo,
+    fields,
+    frame,
+    params,
+    request,
+    router,
+    run,
+    said,
+    until,
+)  # fmt: skip
+
+from swiftwell.fronts.fastcgi import codec
+from swiftwell.fronts.fastcgi import listener as lis
+from swiftwell.platform.limits import OWN, divide
+
+
+def id_(number):
+    return f"{number:016x}"
+
+
+def test_a_request_is_served_with_the_workers_body(tmp_path):
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            for number, body in enumerate((b"", bytes(range(256)) * 64), 1):
+                status, _, answer = await front.ask(number, fields(id_(number)), body)
+                assert (status, answer) == (200, b"did " + body)
+            assert [words[1].decode() for words in worker.runs()] == [id_(1), id_(2)]
+            assert [words[3] for words in worker.runs()] == [b"", bytes(range(256)) * 64]
+            assert node.engine.ledger is None and not node.front.ids
+
+    run(main())
+
+
+def test_health_says_whether_it_can_serve(tmp_path):
+    async def main():
+        async with router(tmp_path, [9]) as node, Front(node.port) as front:
+            assert (await front.ask(1, {"SCRIPT_NAME": "/-/healthy"}))[0] == 200
+            node.stop()
+            assert (await front.ask(2, {"SCRIPT_NAME": "/-/healthy"}))[0] == 503
+        async with router(tmp_path, []) as node, Front(node.port) as front:
+            assert (await front.ask(1, {"SCRIPT_NAME": "/-/healthy"}))[0] == 503  # no worker is known
+
+    run(main())
+
+
+def test_a_refusal_says_when_to_come_back_and_nothing_ran(tmp_path):
+    async def main():
+        async def full(worker, writer, words):
+            writer.write(said(words[1], b"WAIT"))
+
+        async with Worker(full) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            began = time.monotonic()
+            status, told, _ = await front.ask(1, fields(id_(1), "consigna"))
+            assert status == 503 and int(told["Srv-Wait-Ms"]) >= 1
+            assert time.monotonic() - began < 1.0  # it is not held back to the deadline
+            assert worker.runs()
+
+    run(main())
+
+
+@pytest.mark.parametrize("band, tries", [("consigna", 1), ("lectura", 3)])
+def test_an_unsafe_request_is_not_sent_again_once_it_may_have_run(tmp_path, band, tries):
+    async def main():
+        async def broke(worker, writer, words):
+            writer.write(said(words[1], b"BROKE"))
+
+        async with (
+            Worker(broke) as one,
+            Worker(broke) as two,
+            Worker(broke) as three,
+            router(tmp_path, [one.port, two.port, three.port]) as node,
+            Front(node.port) as front,
+        ):
+            status, told, _ = await front.ask(1, fields(id_(1), band))
+            assert sum(len(worker.runs()) for worker in (one, two, three)) == tries
+            # An unsafe one is no refusal either: a refusal would say that a retry is harmless.
+            assert status == (502 if band == "consigna" else 503) and ("Srv-Wait-Ms" in told) == (tries > 1)
+
+    run(main())
+
+
+def test_a_reset_under_an_unsafe_request_is_a_failure_and_no_second_send(tmp_path):
+    async def main():
+        async def reset(worker, writer, words):
+            writer.transport.abort()
+
+        async with (
+            Worker(reset) as one,
+            Worker(echo) as two,
+            router(tmp_path, [one.port]) as node,
+            Front(node.port) as front,
+        ):
+            assert (await front.ask(1, fields(id_(1), "consigna")))[0] == 502
+            assert len(one.runs()) == 1 and not two.runs()
+
+    run(main())
+
+
+def test_an_unsafe_request_goes_on_where_it_is_known_not_to_have_run(tmp_path):
+    async def main():
+        async def lack(worker, writer, words):
+            writer.write(said(words[1], b"LACK"))
+
+        async with (
+            Worker(lack) as one,
+            Worker(echo) as two,
+            router(tmp_path, [one.port, two.port]) as node,
+            Front(node.port) as front,
+        ):
+            statuses = [(await front.ask(n, fields(id_(n), "consigna")))[0] for n in range(1, 9)]
+            assert statuses == [200] * 8 and len(two.runs()) == 8
+
+    run(main())
+
+
+def test_an_abort_is_owed_no_answer_and_frees_its_number(tmp_path):
+    async def main():
+        async def wait(worker, writer, words):
+            if words[0] == b"FN" and words[1].decode() != id_(1):
+                await echo(worker, writer, words)
+
+        async with Worker(wait) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            front.writer.write(request(1, fields(id_(1))))
+            await until(lambda: worker.runs())
+            front.writer.write(codec.record(codec.ABORT, 1, b""))
+            assert (await front.answer(1))[0] == 0  # END_REQUEST and no content
+            assert (await front.ask(1, fields(id_(2)), b"x"))[0] == 200
+            assert node.engine.counts["left"] == 1 and not node.front.ids
+
+    run(main())
+
+
+def test_the_id_of_an_open_request_is_turned_away_and_never_reaches_a_worker(tmp_path):
+    async def main():
+        async def wait(worker, writer, words):
+            await asyncio.sleep(0.2)
+            await echo(worker, writer, words)
+
+        async with (
+            Worker(wait) as worker,
+            router(tmp_path, [worker.port]) as node,
+            Front(node.port) as front,
+            Front(node.port) as other,
+        ):
+            front.writer.write(request(1, fields(id_(1)), b"one"))
+            await until(lambda: worker.runs())
+            assert (await other.ask(1, fields(id_(1)), b"two"))[0] == 409
+            assert (await front.answer(1))[0] == 200 and len(worker.runs()) == 1
+
+    run(main())
+
+
+BAD = {
+    "noise": b"\xde\xad" * 200,
+    "http": b"GET / HTTP/1.1\r\n\r\n",
+    "a wrong role": codec.begin(1, role=3),
+    "no such class": request(1, fields(id_(1), "nothing")),
+    "no such tenant": request(1, fields(id_(1), HTTP_REQ_OWNER="nobody")),
+    "no id": request(1, fields(id_(1), HTTP_REQ_ID=None)),
+    "a negative wait": request(1, fields(id_(1), HTTP_REQ_WAIT_MS="-1")),
+    "a huge length": request(1, fields(id_(1), CONTENT_LENGTH="99999999")),
+    "two under a number": codec.begin(1) + codec.begin(1),
+    "a huge body": codec.begin(1) + codec.record(codec.PARAMS, 1, params(fields(id_(1))))
+    + codec.record(codec.PARAMS, 1, b"") + codec.record(codec.STDIN, 1, b"x" * 60_000) * 20,
+    "endless fields": codec.begin(1) + codec.record(codec.PARAMS, 1, b"x" * 60_000) * 20,
+    "half a record": codec.begin(1)[:11],
+    "half a request": request(1, fields(id_(1)))[:-8],
+    "silence": b"",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_client_gets_an_answer_or_a_close_and_no_worker_sees_it(tmp_path, monkeypatch, name):
+    monkeypatch.setattr(lis, "LOOK_S", 0.02)  # what is waited for 2 s on the platform comes after 0.2 s here
+
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            front.writer.write(BAD[name])
+            await front.read(lambda: bool(front.done))
+            for raw in front.done.values():
+                assert not raw.startswith(b"Status: 200")
+            assert front.done or front.reader.at_eof()
+            assert not worker.got
+            async with Front(node.port) as usual:  # and the usual clients are served
+                assert (await usual.ask(1, fields(id_(2))))[0] == 200
+
+    run(main())
+
+
+def test_a_connection_that_has_asked_may_stay_without_asking(tmp_path, monkeypatch):
+    monkeypatch.setattr(lis, "LOOK_S", 0.02)
+
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            assert (await front.ask(1, fields(id_(1))))[0] == 200
+            await asyncio.sleep(0.02 * 4 * lis.SILENT_LOOKS)
+            assert (await front.ask(2, fields(id_(2))))[0] == 200
+
+    run(main())
+
+
+def test_hundreds_of_silent_connections_do_not_keep_others_out(tmp_path):
+    async def main():
+        async with (
+            Worker(echo) as worker,
+            router(tmp_path, [worker.port], sockets=64) as node,
+            Front(node.port) as usual,
+        ):
+            assert (await usual.ask(1, fields(id_(1))))[0] == 200
+            silent = [await asyncio.open_connection(HOST, node.port) for _ in range(200)]
+            async with Front(node.port) as late:
+                assert (await late.ask(1, fields(id_(2))))[0] == 200
+            assert (await usual.ask(2, fields(id_(3))))[0] == 200
+            assert len(node.front.connections) <= divide(64).clients
+            for _, writer in silent:
+                writer.close()
+
+    run(main())
+
+
+def test_hundreds_of_requests_and_withdrawals_at_once(tmp_path):
+    async def main():
+        async def slow(worker, writer, words):
+            await asyncio.sleep(0.02)
+            await echo(worker, writer, words)
+
+        async with Worker(slow) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            count = 20
+            for round_ in range(15):
+                base = 100 * round_ + 1
+                front.writer.write(b"".join(request(n, fields(id_(base + n))) for n in range(1, count + 1)))
+                front.writer.write(b"".join(codec.record(codec.ABORT, n, b"") for n in range(2, count + 1)))
+                assert await front.read(lambda: len(front.done) == count)
+                front.done.clear()
+            await until(lambda: node.engine.open == 0)
+            sizes = node.link.sizes()
+            assert sizes["worker_jobs"] == 0 and not node.front.ids and not node.engine._of
+
+    run(main())
+
+
+def test_a_client_that_does_not_read_is_closed_and_costs_nothing(tmp_path, monkeypatch):
+    monkeypatch.setattr(lis, "MOST_UNSENT", 20_000)
+
+    async def main():
+        async def large(worker, writer, words):
+            size = 10 if words[1].decode() == id_(99) else 200_000
+            writer.write(said(words[1], b"DONE", b"-", b"x" * size))
+
+        async with Worker(large) as worker, router(tmp_path, [worker.port]) as node:
+            _reader, writer = await asyncio.open_connection(HOST, node.port, limit=1)
+            writer.transport.pause_reading()
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            for number in range(1, 30):
+                writer.write(request(number, fields(id_(number))))
+            await until(lambda: not node.front.connections)
+            writer.close()
+            async with Front(node.port) as usual:
+                assert (await usual.ask(1, fields(id_(99))))[0] == 200
+
+    run(main())
+
+
+def test_nothing_new_goes_to_a_worker_that_drains_or_to_one_under_an_old_id(tmp_path):
+    async def main():
+        async def serve(service, number, writer):
+            if number == 1:
+                writer.write(frame(2, 2, [(1, one.port, 1)]))
+                await service.more.wait()
+                # A new worker takes the address of the one that has gone.
+                writer.write(frame(3, 2, [(1, one.port, 2), (3, one.port, 0), (2, two.port, 1)]))
+
+        async with Worker(echo) as one, Worker(echo) as two, Journal(serve) as service:
+            service.more = asyncio.Event()
+            async with router(tmp_path, [one.port, two.port], journal=service.port) as node:
+                await until(lambda: node.journal.feed.held == 2)
+                async with Front(node.port) as front:
+                    for n in range(1, 9):
+                        assert (await front.ask(n, fields(id_(n))))[0] == 200
+                    assert not one.runs() and len(two.runs()) == 8
+                    service.more.set()
+                    await until(lambda: node.journal.feed.held == 3)
+                    for n in range(11, 19):
+                        assert (await front.ask(n, fields(id_(n))))[0] == 200
+                    assert len(one.runs()) == 8 and len(two.runs()) == 8
+                left = {"s-00000002", "s-00000003"}
+                await until(lambda: set(node.engine.router.workers) == left)
+                assert "s-00000001" not in node.link._workers
+
+    run(main())
+
+
+def test_sighup_moves_the_journal_and_a_bad_file_is_reported_and_kept(tmp_path):
+    async def main():
+        async def nothing(service, number, writer):
+            writer.write(frame(1))
+
+        async def news(service, number, writer):
+            writer.write(frame(2, 2, [(2, worker.port, 0)]))
+
+        async with (
+            Worker(echo) as worker,
+            Journal(nothing) as old,
+            Journal(news) as new,
+            router(tmp_path, [9], journal=old.port) as node,
+        ):
+            await until(lambda: old.asked)
+            node.file.write_text("{")
+            node.reload()
+            assert node.journal.at == (HOST, old.port) and "configuration-kept" in node.lines.getvalue()
+            node.file.write_text(json.dumps(document([9], journal=new.port)))
+            node.reload()
+            node.reload()
+            await until(lambda: node.journal.feed.held == 2)
+            assert new.asked[0] == 1 and len(node.addresses) == 2
+
+    run(main())
+
+
+def test_the_table_of_sizes_is_empty_once_all_is_answered(tmp_path):
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node:
+            for round_ in range(30):
+                async with Front(node.port) as front:
+                    await front.ask(1, fields(id_(round_ + 1), HTTP_REQ_KEY=f"{round_:016x}"))
+            await until(lambda: not node.front.connections)
+            node._figures()
+            sizes = json.loads(node.lines.getvalue().splitlines()[-1])["sizes"]
+            for name in ("calls", "sources", "orders", "worker_jobs", "worker_orders", "module_calls"):
+                assert sizes[name] == 0, name
+
+    run(main())
+
+
+def test_descriptors_are_divided_with_room_for_the_process_itself():
+    for sockets in (64, 256, 384, 1_024):
+        share = divide(sockets)
+        assert share.clients + share.workers + OWN <= sockets and share.clients >= sockets // 3
+
+
+class Process:
+    """A router in a process of its own."""
+
+    def __init__(self, folder, found):
+        with socket.socket() as free:
+            free.bind((HOST, 0))
+            self.port = free.getsockname()[1]
+        self.file = folder / "config.json"
+        self.file.write_text(json.dumps(found | {"listen": f"{HOST}:{self.port}"}))
+        words = [sys.executable, "-B", "-m", "swiftwell.platform"]
+        environment = os.environ | {"EDGE_CONFIG": str(self.file), "EDGE_NAME": "n0"}
+        self.process = subprocess.Popen(words, env=environment, stderr=subprocess.PIPE)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.process.stderr.close()
+
+    async def up(self):
+        for _ in range(1_000):
+            try:
+                async with Front(self.port) as front:
+                    return (await front.ask(1, {"SCRIPT_NAME": "/-/healthy"}))[0]
+            except OSError:
+                await asyncio.sleep(0.01)
+        raise AssertionError("it never listened")
+
+    async def ended(self):
+        return await asyncio.to_thread(self.process.wait, 20)
+
+
+def test_sigterm_goes_on_answering_what_comes_and_ends_with_0(tmp_path):
+    async def main():
+        async def slow(worker, writer, words):
+            await asyncio.sleep(0.3)
+            await echo(worker, writer, words)
+
+        async with Worker(slow) as worker:
+            with Process(tmp_path, document([worker.port])) as one:
+                assert await one.up() == 200
+                async with Front(one.port) as front:
+                    front.writer.write(request(1, fields(id_(1))))
+                    one.process.send_signal(signal.SIGTERM)
+                    await asyncio.sleep(0.2)
+                    async with Front(one.port) as new:  # new connections keep coming
+                        assert (await new.ask(1, fields(id_(2))))[0] == 200
+                    assert (await front.answer(1))[0] == 200
+                assert await one.ended() == 0
+
+    run(main())
+
+
+def test_sighup_before_and_after_the_start_ends_nobody(tmp_path):
+    async def main():
+        with Process(tmp_path, document([9])) as one:
+            await until(lambda: b"EARLY" in _handlers(one.process.pid))
+            one.process.send_signal(signal.SIGHUP)
+            assert await one.up() == 200
+            one.process.send_signal(signal.SIGHUP)
+            assert await one.up() == 200
+            one.process.send_signal(signal.SIGTERM)
+            assert await one.ended() == 0
+
+    def _handlers(pid):
+        """`EARLY` once the process catches SIGHUP, as its status says."""
+        with open(f"/proc/{pid}/status", encoding="ascii") as file:
+            caught = next(int(line.split()[1], 16) for line in file if line.startswith("SigCgt"))
+        return b"EARLY" if caught & 1 << signal.SIGHUP - 1 else b""
+
+    run(main())
+
+
+@pytest.mark.parametrize("text", ["{", json.dumps(document([9]) | {"listen": "x"}), None])
+def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path, text):
+    file = tmp_path / "config.json"
+    if text is not None:
+        file.write_text(text)
+    done = subprocess.run(
+        [sys.executable, "-B", "-m", "swiftwell.platform"],
+        env=os.environ | {"EDGE_CONFIG": str(file)}, capture_output=True, text=True, timeout=30,
+    )  # fmt: skip
+    assert done.returncode == 2 and str(file) in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_run_imports_no_tools_and_no_other_front():
+    # Memory is as little as 32 MB on the platform.
+    words = "import sys, swiftwell.platform.node; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", words], capture_output=True, text=True, check=True)
+    ours = ("lab", "standins", "cli", "fronts.mqtt", "fronts.amqp", "http")
+    barred = (*(f"swiftwell.{name}" for name in ours), "numpy", "scipy", "matplotlib", "click", "pytest")
+    found = done.stdout.split()
+    assert "swiftwell.choice" in found and not [name for name in found if name.startswith(barred)]
+    assert "prometheus_client" not in found
