A connection reset while it comes up is no failed connect

Checked: the books showed all workers as starting again; with the socket's word logged, all 42 connections that did not come up had ECONNRESET from connect(), none was refused or silent: somebody had accepted them. At fault: RespLink.closed took every connection that did not come up for a worker that is down. Now it is judged as any reset, and an attempt of which nothing was written goes on over the connection that comes up.

--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -33,6 +33,7 @@
     gives_up: bool  # whether the worker can be told that it is given up
     connection: Connection | None = None
     written: bool = False
+    moved: bool = False  # its first connection ended before anything was written
     over: bool = False
     began: float = 0.0
 
@@ -55,6 +56,7 @@
         self.jobs: dict[bytes, Job] = {}
         self.known: dict[bytes, None] = {}
         self.up = self.over = self.doubted = False
+        self.failure, self.reset = "", False  # what ended it, in the words of the socket
         self.opened: asyncio.Future[bool] = asyncio.get_running_loop().create_future()  # whether it came up
         self.used, self.heard = time.monotonic(), 0.0  # heard: bytes of the worker's
         self._parser = Parser()
@@ -83,8 +85,9 @@
                 self.heard, self.doubted = time.monotonic(), False
                 for answer in self._parser.feed(data):
                     self._answer(answer)
-        except (OSError, TimeoutError, StreamClosedError):
-            pass
+        except (OSError, TimeoutError, StreamClosedError) as error:
+            cause = getattr(error, "real_error", None) or error
+            self.failure, self.reset = repr(cause), isinstance(cause, ConnectionResetError)
         except RespError as error:
             why = str(error)
         finally:
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -185,7 +185,8 @@
             job.connection = None
         if why:
             self._lost(jobs, lives=True)
-        elif not connection.up:
+        elif not connection.up and not connection.reset:  # refused, or nobody there
+            self._log("info", "connect-failed", worker=connection.worker, why=connection.failure)
             self._lost(jobs, lives=False)
         elif jobs:
             self._judge(connection.worker, jobs)
@@ -194,7 +195,8 @@
         """Whether a process died or a connection broke: the module takes a reset for a start, cold for long.
 
         All connections of a process that died are reset and new ones refused until it is started anew; where
-        one comes up at once the process lives, and only the attempts on the old one are lost.
+        one comes up at once the process lives, and only the attempts on the old one are lost.  One that is
+        reset while it comes up was accepted by somebody: it proves no more.
         """
         worker, address = self._workers.get(name), self._address(name)
         if worker and (worker.judging is None or worker.judging.over):
@@ -204,12 +206,15 @@
         else:
             self._lost(jobs, lives=False)
 
-    @staticmethod
-    def _lost(jobs: list[Job], lives: bool) -> None:
-        """Attempts that ended with their connection."""
+    def _lost(self, jobs: list[Job], lives: bool) -> None:
+        """Attempts whose connection ended; one of which nothing was written goes on where it can, once."""
         for job in jobs:
             if job.over:  # given up meanwhile
                 continue
+            if lives and not job.written and not job.moved:
+                job.moved = True
+                self._begin(job)
+                continue
             job.over = True
             if job.written:
                 job.ended(Status.ERROR if lives else Status.RESET, Ran.MAYBE)
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -152,6 +152,32 @@
     run(main())
 
 
+def test_a_connection_reset_while_it_comes_up_is_no_restart_and_its_attempt_goes_on():
+    # Seen on the platform as ECONNRESET from connect(): each counted as a failed connect, hence as a start.
+    async def main():
+        async with Worker(echo) as worker:
+            play = Play({"w": worker.port})
+            open_, failed = play.link._open, []
+
+            def first_is_reset(name, state, address):
+                one = open_(name, state, address)
+                if not failed:
+                    failed.append(one)
+                    cause = ConnectionResetError(104, "Connection reset by peer")
+                    one._stream.connect = lambda at: _raise(cause)
+                return one
+
+            play.link._open = first_is_reset
+            play.start()
+            assert await play.ends() == [(Status.OK, Ran.YES)]
+            assert failed[0].over and not failed[0].up and len(worker.got) == 1
+
+    async def _raise(error):
+        raise error
+
+    run(main())
+
+
 def test_an_attempt_given_up_while_its_worker_is_judged_ends_once():
     async def main():
         async def reset(worker, writer, words):
