What goes on over another connection is written at once, not at the engine's next turn

Found by the test of the fix before: an attempt moved to the connection that came up waited for the engine's next turn, as nothing told the loop of one. RespLink._lost flushes now.

--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -220,6 +220,7 @@
                 job.ended(Status.ERROR if lives else Status.RESET, Ran.MAYBE)
             else:
                 job.ended(Status.MOOT if lives else Status.CONNECT_FAILED, Ran.NEVER)
+        self.flush()  # no turn of the engine need follow
 
     def dirty(self, connection: Connection) -> None:
         """Something is to be written at the end of the turn."""
