--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -400,3 +400,19 @@
         out = sum(attempt.out for call in calls for attempt in call.attempts)
         assert play.engine.load()[0] == out
         assert play.engine.load()[1] == sum(not call.out() for call in calls)
+
+
+def test_without_a_ledger_effects_rest_on_the_module_and_the_sockets():
+    # Publishers that name each try anew, and no disk: no key is asked for, none is joined or remembered.
+    play = Play()
+    play.engine.ledger = None
+    play.call("unsafe", key="")
+    play.call("unsafe", key="again")
+    play.call("unsafe", key="again")
+    first, second, third = [o for o in play.out if isinstance(o, ports.Start)]
+    play.end(first)
+    play.end(second, io.Status.RESET)  # it may have run: neither again nor refused
+    play.end(third, io.Status.CONNECT_FAILED)
+    starts = [o for o in play.out if isinstance(o, ports.Start)]
+    assert play.kinds() == ["served", "failed"] and len(starts) == 4
+    assert not [o for o in play.out if isinstance(o, ports.Write)]
