--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -406,13 +406,12 @@
     # Publishers that name each try anew, and no disk: no key is asked for, none is joined or remembered.
     play = Play()
     play.engine.ledger = None
-    play.call("unsafe", key="")
-    play.call("unsafe", key="again")
-    play.call("unsafe", key="again")
-    first, second, third = [o for o in play.out if isinstance(o, ports.Start)]
-    play.end(first)
-    play.end(second, io.Status.RESET)  # it may have run: neither again nor refused
-    play.end(third, io.Status.CONNECT_FAILED)
-    starts = [o for o in play.out if isinstance(o, ports.Start)]
-    assert play.kinds() == ["served", "failed"] and len(starts) == 4
+    for key in ("", "again", "again"):
+        play.call("unsafe", key=key, function=f"f{len(play.out)}")
+    out, ended = [o for o in play.out if isinstance(o, ports.Start)], []
+    for start, status in zip(out, (io.Status.OK, io.Status.RESET, io.Status.CONNECT_FAILED), strict=True):
+        ended += [o.answer.kind.value for o in play.end(start, status) if isinstance(o, ports.Reply)]
+    again = [o for o in play.out if isinstance(o, ports.Start)][3:]
+    assert ended == ["served", "failed"]  # the second may have run: neither again nor refused
+    assert [start.trigger.key for start in again] == ["again"]
     assert not [o for o in play.out if isinstance(o, ports.Write)]
