A call held for half of its time is answered then where no copy of its function stands

At fault: Router._in_time knows only the wanted time. Tried first and not kept: three loads at once.

--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -117,6 +117,7 @@
         self.calls[request.id] = call
         # Two ticks early: timers land on the next tick, and the answer must precede the deadline.
         self._after(request.left_us - 2 * self.told.tick_us, self._finish, call)
+        self._after(request.left_us // 2 - 2 * self.told.tick_us, self._half, call)
         self._hold(call)
 
     def _hold(self, call: rec.Call) -> None:
@@ -163,6 +164,15 @@
         del self.lines[line]
         return None
 
+    def _half(self, call: rec.Call) -> None:
+        """Half of a call's time is over and nothing was sent: operators want to hear sooner than later.
+
+        Where no copy of its function stands anywhere, the other half is most likely a load's as well.
+        """
+        if call.held and not call.attempts and not call.function.holding(self.now):
+            call.held = False
+            self._finish(call)
+
     def _dispatch(self) -> None:
         """Place held calls, oldest first; a function that finds no room blocks only itself."""
         look = self.now >= self.look_at
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -383,6 +383,22 @@
     assert only(bench.wait(2_000_000), io.Refuse) == []  # r1 is out: an outcome or its deadline ends it
 
 
+@pytest.mark.parametrize("warm", [False, True])
+def test_a_call_held_for_half_its_time_is_answered_then_where_no_copy_stands(warm: bool) -> None:
+    # Refused later, with nothing sent, it costs the operators a part of its worth on top.
+    bench = Bench(replace(PLAIN, may_load=True), workers=("a",))
+    bench.call("f", left=600_000, lanes=1)  # orders a copy
+    (order,) = only(bench.all, io.Load)
+    if warm:  # a copy stands but its lane is taken: it may come free
+        sent = bench.do(io.Loaded(order.worker, "f", Status.OK, 10_000, 1))
+        assert only(sent, io.Send)
+        bench.call("f", left=600_000, lanes=1)
+    early = bench.wait(290_000)
+    assert not only(early, io.Refuse)
+    done = bench.wait(20_000)
+    assert [refused.id for refused in only(done, io.Refuse)] == ([] if warm else ["r1"])
+
+
 def test_a_slow_fleet_gives_up_held_calls_sooner_and_once_sent_lets_them_run() -> None:
     bench = Bench(workers=("a",))
     for _ in range(30):
