--- a/swiftwell/handover/snapshot.py
+++ b/swiftwell/handover/snapshot.py
@@ -54,6 +54,7 @@
     pace: float = 1.0
     pace_at: int = 0
     warm_at: int = 0
+    answered: int = 0
 
 
 class FunctionBooks(msgspec.Struct):
@@ -149,7 +150,7 @@
     name = getattr(act, "__name__", "")
     if name in ("_sweep", "_watch"):
         return TimerBooks(token, name, [], due)
-    if name == "_finish":
+    if name in ("_finish", "_half"):
         call = args[0]
         return (
             TimerBooks(token, name, [call.request.id], due)
@@ -212,6 +213,7 @@
                 worker.pace,
                 worker.pace_at,
                 worker.warm_at,
+                worker.answered,
             )
         )
     for f in router.functions.values():
@@ -281,6 +283,7 @@
             b.pace,
             b.pace_at,
             b.warm_at,
+            b.answered,
         )
         router.workers[b.worker] = worker
     router.ready = [worker for worker in router.workers.values() if worker.ready]
@@ -335,8 +338,8 @@
     match timer.act, timer.about:
         case (("_sweep" | "_watch"), _):
             act = getattr(router, timer.act)
-        case "_finish", [str(call)] if call in router.calls:
-            act, args = router._finish, (router.calls[call],)
+        case ("_finish" | "_half"), [str(call)] if call in router.calls:
+            act, args = getattr(router, timer.act), (router.calls[call],)
         case "_late", [str(call), int(number)] if call in router.calls:
             act, args = router._late, (router.calls[call].attempts[number],)
         case "_load_failed", [str(name), str(function)] if (
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -163,13 +163,13 @@
     refused: dict[str, int] = field(default_factory=dict)  # class or tenant: turned away, none before
     sends: Window = field(default_factory=Window)
     quiet_since: int = 0
-    answered: int = 0  # when the latest sent of the attempts that it answered was sent
     full_until: int = 0
     rest_until: int = 0
     failures: int = 0
     pace: float = 1.0
     pace_at: int = 0
     warm_at: int = 0  # warmed up by then at the latest
+    answered: int = 0  # when the latest sent of the attempts that it answered was sent
 
     @property
     def ready(self) -> bool:
