--- a/swiftwell/handover/snapshot.py
+++ b/swiftwell/handover/snapshot.py
@@ -338,7 +338,7 @@
     match timer.act, timer.about:
         case (("_sweep" | "_watch"), _):
             act = getattr(router, timer.act)
-        case ("_finish" | "_half"), [str(call)] if call in router.calls:
+        case (("_finish" | "_half"), [str(call)]) if call in router.calls:
             act, args = getattr(router, timer.act), (router.calls[call],)
         case "_late", [str(call), int(number)] if call in router.calls:
             act, args = router._late, (router.calls[call].attempts[number],)
