A step that fails does not end all turns

Found on rereading: the flag that a turn is under way stayed up when Engine.step raised, and nothing was taken in any more. A test plants the failure.

--- a/swiftwell/gateway/turning.py
+++ b/swiftwell/gateway/turning.py
@@ -81,21 +81,22 @@
             return
         self._stepping = True  # what is put in while outputs are carried out is the next turn's
         inputs, self._inputs = self._inputs, []
-        for out in self.engine.step(self.clock.now_us(), self.clock.wall_us(), inputs):
-            try:
-                self._carry(out)
-            except Exception as error:  # one output's trouble is not the others'
-                self.log(
-                    "error",
-                    "output-failed",
-                    output=type(out).__name__,
-                    error=f"{type(error).__name__}: {error}",
-                )
-        self._stepped()
-        self._stepping = False
-        if self._inputs:
-            self.stir()
-        self._arm()
+        try:
+            for out in self.engine.step(self.clock.now_us(), self.clock.wall_us(), inputs):
+                self._try(out)
+            self._stepped()
+        finally:  # else one failure would end all turns
+            self._stepping = False
+            if self._inputs:
+                self.stir()
+            self._arm()
+
+    def _try(self, out: ports.Output) -> None:
+        try:
+            self._carry(out)
+        except Exception as error:  # one output's trouble is not the others'
+            what = f"{type(error).__name__}: {error}"
+            self.log("error", "output-failed", output=type(out).__name__, error=what)
 
     def _stepped(self) -> None:
         """After the outputs of a turn: what was gathered goes out."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -335,6 +335,26 @@
     run(main())
 
 
+def test_a_step_that_fails_does_not_end_all_turns(tmp_path):
+    # The flag that a turn is under way stayed up, and nothing that came after was ever taken in.
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            step, failed = node.engine.step, []
+
+            def once(*given):
+                if not failed:
+                    failed.append(given)
+                    raise AssertionError("planted")
+                return step(*given)
+
+            node.engine.step = once
+            node.stir()
+            await until(lambda: failed)
+            assert (await front.ask(1, fields(id_(1))))[0] == 200
+
+    run(main())
+
+
 def test_the_table_of_sizes_is_empty_once_all_is_answered(tmp_path):
     async def main():
         async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node:
