What is given up unsent stays unsent beside a KILL; an old connection proves no life

Now one list of pairs. - a reset was judged by the connection opened for an earlier one, if that still stood: where a process died and that end was seen last, its attempts ended as errors and not as resets. Now only one that is still coming up is shared. - an order given up while its worker was judged ended twice. Attempts and orders are given up by one piece of code.

--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -60,8 +60,7 @@
         self.opened: asyncio.Future[bool] = asyncio.get_running_loop().create_future()  # whether it came up
         self.used, self.heard = time.monotonic(), 0.0  # heard: bytes of the worker's
         self._parser = Parser()
-        self._out: list[bytes] = []
-        self._unsent: list[Job] = []
+        self._out: list[tuple[bytes, Job | None]] = []  # what waits to be written, and whose request it is
         self._stream = IOStream(
             socket.socket(socket.AF_INET, socket.SOCK_STREAM),
             max_buffer_size=READ_BYTES * 4,
@@ -77,9 +76,7 @@
             self._stream.set_nodelay(True)
             self.up = True
             self.opened.set_result(True)
-            if self._out:
-                self.owner.dirty(self)
-                self.flush()
+            self.flush()
             while True:
                 data = await self._stream.read_bytes(READ_BYTES, partial=True)
                 self.heard, self.doubted = time.monotonic(), False
@@ -101,8 +98,7 @@
         self.known[job.id] = None
         if len(self.known) > MOST_KNOWN:
             del self.known[next(iter(self.known))]
-        self._out.append(job.data)
-        self._unsent.append(job)
+        self._out.append((job.data, job))
         if self.up:
             self.owner.dirty(self)
 
@@ -110,16 +106,15 @@
         """Hand what was gathered to the kernel, in one write."""
         if self.over or not self.up or not self._out:
             return
-        data, self._out = b"".join(self._out), []
-        unsent, self._unsent = self._unsent, []
+        out, self._out = self._out, []
         try:
-            self._stream.write(data)
-        except (StreamClosedError, StreamBufferFullError):
-            self._unsent = unsent  # nothing was handed over
+            self._stream.write(b"".join([data for data, _ in out]))
+        except (StreamClosedError, StreamBufferFullError):  # nothing was handed over
             self._stream.close()
             return
-        for job in unsent:
-            job.written = True
+        for _, job in out:
+            if job is not None:
+                job.written = True
 
     def _answer(self, answer: Answer) -> None:
         job = self.jobs.get(answer[0])
@@ -131,18 +126,16 @@
 
     def give_up(self, job: Job) -> None:
         """Nothing more is wanted of a job."""
-        job.over = True
         del self.jobs[job.id]
         if not job.written:
-            at = self._unsent.index(job)
-            del self._unsent[at], self._out[at]
+            self._out.remove((job.data, job))
             return
         if self.heard < job.began:
             self.doubted = True  # silent ever since it was sent: nothing new goes here
         if self.doubted and not self.jobs:
             self.close()  # which gives it up as well
         elif job.gives_up:
-            self._out.append(codec.kill(job.id))
+            self._out.append((codec.kill(job.id), None))
             self.owner.dirty(self)
 
     def close(self) -> None:
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -12,8 +12,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tornado.ioloop import IOLoop
-
 from swiftwell.fronts.trigger import Ran
 from swiftwell.gateway import ports
 from swiftwell.interface import Status
@@ -22,7 +20,7 @@
 from swiftwell.workers.resp.connection import Connection, Job
 
 IDLE_PART = 0.7  # of the time after which a worker closes an unused connection: ours go well before
-ORDER_S = 10.0  # s until an order without an answer is given up, where the settings tell no time
+ORDER_S = 10.0  # s until an order is forgotten here; the engine stops waiting at the told time
 LEAST_EACH = 2  # connections to a worker, whatever the descriptors: one may be silent
 MOST_EACH = 24  # connections to a worker: more than the attempts that the module lets out to one
 
@@ -64,7 +62,6 @@
         self._orders: dict[int, Job] = {}
         self._dirty: dict[Connection, None] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._loop = IOLoop.current()
         self.open = 0
         self.counts = dict.fromkeys(("opened", "spoilt", "ended", "refused"), 0)
 
@@ -93,11 +90,8 @@
         """Stop waiting for an attempt."""
         job = self._jobs.get((act.id, act.number))
         if job and not job.over:
-            written = job.written
-            if job.connection:
-                job.connection.give_up(job)
-            job.over = True
-            job.ended(*((act.status, Ran.MAYBE) if written else (Status.MOOT, Ran.NEVER)))
+            self._give_up(job)
+            job.ended(*((act.status, Ran.MAYBE) if job.written else (Status.MOOT, Ran.NEVER)))
 
     def order(self, act: ports.Order) -> None:
         """Send an order to load, or a question."""
@@ -113,11 +107,18 @@
             end(status, Ran.YES, copies, True)
 
         tag = b"o%d" % number
-        job = Job(act.worker, tag, codec.hold(tag, act.function, act.copies), answered, end, False)
-        job.began = began
+        data = codec.hold(tag, act.function, act.copies)
+        job = Job(act.worker, tag, data, answered, end, False, began=began)
         self._orders[number] = job
         self._begin(job)
 
+    @staticmethod
+    def _give_up(job: Job) -> None:
+        """Nothing more is wanted of a job; it may be on no connection, while its worker is judged."""
+        job.over = True
+        if job.connection:
+            job.connection.give_up(job)
+
     def ask(self, act: ports.Ask) -> None:
         """Nobody is asked here: there is no saved list to check."""
         self._put(ports.Asked(act.worker, False))
@@ -199,7 +200,7 @@
         reset while it comes up was accepted by somebody: it proves no more.
         """
         worker, address = self._workers.get(name), self._address(name)
-        if worker and (worker.judging is None or worker.judging.over):
+        if worker and (worker.judging is None or worker.judging.opened.done()):  # an older one proves nothing
             worker.judging = self._open(name, worker, address) if address and self._room(worker) else None
         if worker and worker.judging:
             worker.judging.opened.add_done_callback(lambda opened: self._lost(jobs, opened.result()))
@@ -250,8 +251,7 @@
                 if not one.jobs and (stale or one.doubted or worker.gone or one.address != address):
                     one.close()
         for job in [job for job in self._orders.values() if job.began < now - self._bounds.order_s]:
-            if job.connection and not job.over:
-                job.connection.give_up(job)
+            self._give_up(job)
             job.ended(Status.TIMEOUT, Ran.MAYBE)
 
     def sizes(self) -> dict[str, int]:
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -293,6 +293,73 @@
     run(main())
 
 
+def test_given_up_beside_a_kill_that_waits_it_is_not_sent_all_the_same():
+    # What waits to be written held KILLs that the list of jobs beside it did not: the wrong piece was taken
+    # back, and a request told as never sent went out.
+    async def main():
+        async def talk(worker, writer, words):
+            if words[0] == b"FN" and words[1] == ID.encode():
+                writer.write(said(b"1" * 16, b"DONE"))  # it is not silent
+
+        async with Worker(talk) as worker:
+            play = Play({"w": worker.port}, connections=1)
+            play.start("c1")
+            await until(lambda: worker.got)
+            await asyncio.sleep(0.05)
+            play.link.abandon(ports.Abandon("c1", 0, Status.TIMEOUT))  # its KILL waits for the turn's end
+            trigger = Trigger("1/2", None, "lectura", "acme", "f", "0" * 16, b"x", 1_000_000)
+            play.link.start(ports.Start("c2", 0, "w", trigger, 1_000_000))
+            play.link.abandon(ports.Abandon("c2", 0, Status.CANCELLED))
+            play.link.flush()
+            assert await play.ends(2) == [(Status.TIMEOUT, Ran.MAYBE), (Status.MOOT, Ran.NEVER)]
+            await until(lambda: [b"KILL", ID.encode()] in worker.got)
+            await asyncio.sleep(0.05)
+            assert [words[1] for words in worker.runs()] == [ID.encode()]
+
+    run(main())
+
+
+def test_a_connection_that_came_up_for_an_earlier_reset_proves_nothing_later():
+    # It stays open; when the process dies its own end may be seen last.
+    async def main():
+        async def reset_then_die(worker, writer, words):
+            if len(worker.got) > 1:
+                worker.server.close()  # new connections are refused; the older one's end is not seen yet
+            writer.transport.abort()
+
+        async with Worker(reset_then_die) as worker:
+            play = Play({"w": worker.port}, connections=3)
+            play.start("c1")
+            assert await play.ends() == [(Status.ERROR, Ran.MAYBE)]
+            judged = play.link._workers["w"].judging
+            assert judged.up and not judged.over
+            judged.doubted = True  # the next goes on a connection of its own
+            play.start("c2", id_="0" * 16)
+            await play.ends(2)
+            assert (play.told[1].status, play.told[1].ran) == (Status.RESET, Ran.MAYBE)
+
+    run(main())
+
+
+def test_an_order_given_up_while_its_worker_is_judged_ends_once():
+    async def main():
+        async def reset(worker, writer, words):
+            writer.transport.abort()
+
+        async with Worker(reset) as worker:
+            play = Play({"w": worker.port}, order_s=0.0)
+            play.link.order(ports.Order(5, "w", "f", 2, 100.0, 1))
+            pending = SimpleNamespace(opened=asyncio.get_running_loop().create_future(), over=False)
+            play.link._open = lambda *_: pending
+            await until(lambda: play.link._workers["w"].judging)
+            play.link.sweep()
+            pending.opened.set_result(True)
+            await asyncio.sleep(0.05)
+            assert [(end.number, end.status) for end in play.told] == [(5, Status.TIMEOUT)]
+
+    run(main())
+
+
 def test_requests_are_spread_and_share_connections_only_when_these_run_out():
     async def main():
         async def never(worker, writer, words):
