A router's first second divides what it was served by all workers, not by one

Checked: 200 routers of 0.8 s of age, 39 warm workers and one starting: 85 sends, over the 20 that the told multiple allows; now within.

--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -316,7 +316,7 @@
         if worker.sends.count(self.now - self.told.fall_us) >= max(1, int(core * self.told.fall_us)):
             return False
         seen = 1 - math.exp((self.born - SWEEP_US - self.now) / RATE_US)  # of the mean's span, after a start
-        even = self.served.per_us(self.now) / seen / max(1, self.warm)
+        even = self.served.per_us(self.now) / seen / max(1, self.warm or len(self.ready))  # 0 until a sweep
         pace = TURNS * max(core, even * part * present * self.told.fall_multiple)
         return worker.turns.open(self.now, pace, self.told.fall_us)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,8 +8,9 @@
 from helpers import ORDERS, PLAIN, TICK, Bench, entry, only
 
 from swiftwell import interface as io
-from swiftwell.choice import FIRST_CAP
+from swiftwell.choice import FIRST_CAP, SPLIT
 from swiftwell.interface import Status
+from swiftwell.records import Worker, stable_hash
 
 MODULE = Path(__file__).resolve().parent.parent / "swiftwell" / "choice.py"
 
@@ -361,6 +362,32 @@
     assert 10 < len(sent) <= 2 * present * 40 * 3  # multiple x capacity of one of ten x span
 
 
+def first_home(bench: Bench, function: str) -> Worker:
+    key = stable_hash(function)
+    return min(bench.router.ready, key=lambda worker: (worker.key ^ key) * SPLIT % 2**64)
+
+
+def test_routers_that_just_started_leave_a_starting_worker_its_budget() -> None:
+    """Until a router's first sweep all that it was served counted as one warm worker's: turns came too fast."""
+    told = replace(PLAIN, routers=200, fall_us=3_000_000, fall_multiple=2.0)
+    names, sent = tuple(entry(f"w{number}") for number in range(39)), 0
+    for position in range(200):
+        bench = Bench(replace(told, position=position), (entry("cold", started=1_000_000), *names))
+        cold, others = bench.router.workers["cold"], bench.router.ready[1:]
+        cold.cap = 0.0  # looked at, and not used
+        hot = next(name for name in map(str, range(999)) if first_home(bench, name) is cold)
+        for _ in range(8):
+            for send in only(bench.call(hot), io.Send):
+                bench.answer(send, us=50_000)
+            bench.wait(50_000)
+        for worker in others:
+            worker.rest_until = bench.now + 9_000_000
+        cold.cap = 4.0
+        sent += len(only(bench.call(hot), io.Send))
+    even = 200 * 8 / 39  # calls of each of the others until now
+    assert 0 < sent <= even * 2 * 0.25  # times the told multiple and the capacity that is there
+
+
 def test_calls_pass_starting_workers_by_when_most_of_a_fleet_is_new() -> None:
     """Six in ten workers new: a call whose first two homes were starting was held, then refused."""
     names = tuple(entry(f"w{number}", started=1_000_000 if number % 5 < 3 else 0) for number in range(50))
