--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -368,7 +368,7 @@
 
 
 def test_routers_that_just_started_leave_a_starting_worker_its_budget() -> None:
-    """Until its first sweep a router took all that it was served for one warm worker's: turns came too fast."""
+    """Until its first sweep all that a router was served counted as one worker's: turns came too fast."""
     told = replace(PLAIN, routers=200, fall_us=3_000_000, fall_multiple=2.0)
     names, sent = tuple(entry(f"w{number}") for number in range(39)), 0
     for position in range(200):
