--- a/swiftwell/discovery/sources.py
+++ b/swiftwell/discovery/sources.py
@@ -85,31 +85,46 @@
         self._servers, self._service, self._wait_s, self._gateway = servers, service, wait_s, gateway
         self._started, self._tell, self._log, self._chance = started, tell, log, chance
         self._backoff = Backoff(chance)
+        self._turn = 0  # of the servers, for the next session
+        self._server = ""
         self.index = 0
         self._body = b""
         self.heard_at = 0.0  # steady time of the last good answer
 
     async def run(self) -> None:
         """Ask for ever."""
-        turn = 0
         while True:
-            host, port = host_port(self._servers[turn % len(self._servers)])
-            client, began = Client(host, port), time.monotonic()
+            began = time.monotonic()
             try:
-                while True:
-                    await self._ask(client)
+                await self.session()
             except (Unreachable, SettingsError) as error:
-                turn += 1
                 self._backoff.ended(time.monotonic() - began)
-                if not self.heard_at and turn % len(self._servers) == 0:
+                if not self.heard_at and self._turn % len(self._servers) == 0:
                     await self._ask_peers()
                 wait = self._backoff.wait_s()
-                self._log(
-                    "warning", "list-lost", server=f"{host}:{port}", why=str(error), again_in_s=round(wait, 2)
-                )
+                self.lost(error, wait)
                 await asyncio.sleep(wait)
-            finally:
-                client.close()
+
+    async def session(self) -> None:
+        """Ask the next server again and again; raises Unreachable or SettingsError once it fails."""
+        self._server = self._servers[self._turn % len(self._servers)]
+        client = Client(*host_port(self._server))
+        try:
+            while True:
+                await self._ask(client)
+        except (Unreachable, SettingsError):
+            self._turn += 1
+            raise
+        finally:
+            client.close()
+
+    def anew(self) -> None:
+        """The next question is answered at once, whatever was told before."""
+        self.index, self._body = 0, b""
+
+    def lost(self, error: Exception, wait_s: float) -> None:
+        """Say that a session has ended."""
+        self._log("warning", "list-lost", server=self._server, why=str(error), again_in_s=round(wait_s, 2))
 
     async def _ask_peers(self) -> None:
         """While no server has answered since the start: what other gateways know, with its age."""
--- a/swiftwell/fleet/link.py
+++ b/swiftwell/fleet/link.py
@@ -59,15 +59,19 @@
             self._transport.close()
             self._transport = None
 
+    def stir(self) -> None:
+        """Take a step in this turn: something is to be said."""
+        if not self._stirred:
+            self._stirred = True
+            asyncio.get_running_loop().call_soon(self._step)
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Kept for this turn's step."""
         if len(self._came) >= MOST_CAME:
             self.dropped += 1
             return
         self._came.append(data)
-        if not self._stirred:
-            self._stirred = True
-            asyncio.get_running_loop().call_soon(self._step)
+        self.stir()
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is away answers so; its silence tells enough."""
--- a/swiftwell/fleet/node.py
+++ b/swiftwell/fleet/node.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from swiftwell.fleet import words
+from swiftwell.fleet.board import Board
 from swiftwell.fleet.guard import Guard
 from swiftwell.fleet.lease import Candidate, Voter, choose
 from swiftwell.fleet.members import PERIOD_US, Members
@@ -35,6 +36,7 @@
     leases: tuple[str, ...] = ()
     budgets: tuple[str, ...] = ()
     before: tuple[str, ...] = ()
+    boards: tuple[tuple[str, tuple[int, ...]], ...] = ()  # names, and positions of those who share each
     key: bytes = b""
 
 
@@ -47,6 +49,17 @@
         self.voter = Voter(self.members.life, told.term_us, now)
         names = (*told.leases, *(f"share/{budget}" for budget in told.budgets))
         self.leases = {name: self._candidate(name, wall_ms, seed) for name in names}
+        self.boards: dict[str, Board] = {}
+        for name, group in told.boards:
+            self.boards[name] = Board(name, told.me, group, now, told.period_us, seed)
+            # Its voters are of those who share it, and the roster's number is in the name: a zone that is cut
+            # off agrees by itself, and two epochs have a writer each, which a board stands.
+            lease = f"board/{name}/{told.epoch}"
+            voters = choose((told.roster[one] for one in group), lease, told.voters)
+            groups = (tuple(told.roster.index(one) for one in voters),)
+            self.leases[lease] = Candidate(
+                lease, told.me, self.members.life, groups, told.term_us, wall_ms, seed
+            )
         self.guards = {name: Guard(candidate) for name, candidate in self.leases.items()}
         self.shares = {budget: Share(budget, len(told.roster)) for budget in told.budgets}
         self.lenders: dict[str, Lender] = {}
@@ -68,6 +81,10 @@
         numbers = tuple(tuple(at.get(one, -1 - n) for n, one in enumerate(group)) for group in groups)
         return Candidate(name, told.me, self.members.life, numbers, told.term_us, wall_ms, seed)
 
+    def board_lease(self, name: str) -> Candidate:
+        """The lease of whoever writes a board."""
+        return self.leases[f"board/{name}/{self.told.epoch}"]
+
     def want(self, now: int, name: str, wanted: bool = True) -> None:
         """Try for a lease of the settings, or give it up."""
         self._now = now
@@ -83,6 +100,11 @@
             self._send(candidate.tick(now))
         for budget, share in self.shares.items():
             self._budget(now, budget, share)
+        if self.boards:
+            living = frozenset(self.members.alive())
+            for board in self.boards.values():
+                board.living = living
+                self._send(board.step(now))
         return self._packed()
 
     def _budget(self, now: int, budget: str, share: Share) -> None:
@@ -121,6 +143,9 @@
             return
         self.counts["taken"] += 1
         self.members.heard(now, sender, got.life)
+        for board in self.boards.values():
+            if sender in board.others:
+                board.heard_at = now
         if got.life < self.members.table[sender].life:
             # Of a run that has ended: nothing it says holds any more.  Or its wall clock was set back: then
             # it has to hear of its earlier life, to begin one above it; else nobody would ever listen to it.
@@ -154,6 +179,9 @@
             case words.Held():
                 if word.name in self.leases and 0 <= word.holder < len(self.told.roster):
                     self.holders[word.name] = word.holder
+            case words.Notice() | words.Fetch() | words.Part():
+                if board := self.boards.get(word.name):
+                    self._send(board.take(now, sender, word))
             case _:
                 self._send(self.members.take(now, sender, word))
 
@@ -210,5 +238,16 @@
                 for name, lease in self.leases.items()
             ],
             "shares": {budget: share.parts(now) for budget, share in self.shares.items()},
+            "boards": {
+                name: {
+                    "writer": roster[board.writer] if 0 <= board.writer < len(roster) else "",
+                    "edition": board.edition,
+                    "number": board.number,
+                    "silent_ms": (board.silent_us(now) or 0) // 1_000,
+                    **board.sizes(),
+                    **board.counts,
+                }
+                for name, board in self.boards.items()
+            },
             "counts": dict(self.counts) | self.members.counts,
         }
--- a/swiftwell/fleet/words.py
+++ b/swiftwell/fleet/words.py
@@ -124,9 +124,42 @@
     holder: int
 
 
+class Notice(Word, frozen=True, tag=30):
+    """All that a member holds of a board: an edition up to a number, and the writer's last sign of life."""
+
+    name: str
+    edition: int
+    number: int
+    beat: int
+
+
+class Fetch(Word, frozen=True, tag=31):
+    """What came after the number `have` of an edition, please."""
+
+    name: str
+    edition: int
+    have: int
+
+
+class Part(Word, frozen=True, tag=32):
+    """Entries of a board with numbers above `after` up to `upto`; `last` is the edition's last number.
+
+    `final`: nothing more follows this time.  An empty value takes the name off.
+    """
+
+    name: str
+    edition: int
+    after: int
+    upto: int
+    last: int
+    final: bool
+    entries: list[tuple[str, bytes]]
+
+
 AnyWord = (
     Ping | Ack | Ask | News | Prepare | Promise | Refuse | Propose | Granted | Release | Want | Loan | Held
-)
+    | Notice | Fetch | Part
+)  # fmt: skip
 
 
 class Datagram(Struct, frozen=True, array_like=True):
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -659,6 +659,11 @@
         """Intents that are not on disk yet."""
         return len(self._awaiting)
 
+    def divide_by(self, routers: int) -> None:
+        """The fleet's budgets are divided by so many routers from now on."""
+        if routers != self._told.routers:
+            self._told = self.router.told = replace(self._told, routers=routers)
+
     def start_at(self, now_us: int, wall_us: int) -> None:
         """The time at which calls are put in, before the first `step`."""
         self._wheel, self._now, self._wall = Wheel(now_us), now_us, wall_us
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -15,6 +15,7 @@
 import socket
 import subprocess
 import time
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -31,12 +32,14 @@
 from swiftwell.fleet.drill import Drill
 from swiftwell.fleet.link import FleetLink, key_of
 from swiftwell.fleet.node import FleetSettings
+from swiftwell.fleet.shares import Share
 from swiftwell.fronts.amqp.consumer import BrokerLink as AmqpBroker
 from swiftwell.fronts.amqp.consumer import Queue as AmqpQueue
 from swiftwell.fronts.amqp.contract import Contract as AmqpContract
 from swiftwell.fronts.amqp.link import Link as AmqpLink
 from swiftwell.fronts.amqp.redelivery import Redelivered
 from swiftwell.fronts.amqp.session import Login
+from swiftwell.fronts.host import Backoff
 from swiftwell.fronts.mqtt.codec import V5, V311, Connect, Reason
 from swiftwell.fronts.mqtt.contract import Contract
 from swiftwell.fronts.mqtt.endpoint import Endpoint, EndpointBounds
@@ -55,6 +58,8 @@
 from swiftwell.http.server import Server
 from swiftwell.settings.site import AmqpBroker as AmqpSettings
 from swiftwell.settings.site import Site, host_port
+from swiftwell.starting.follow import LOOK_S, Follower
+from swiftwell.starting.part import AHEAD_US, Part
 from swiftwell.workers.link import Link, LinkBounds
 
 STOP_S = 5.0  # s that calls in flight may take once the gateway is told to end; then they get their answers
@@ -71,6 +76,9 @@
     def __init__(self, site: Site, logs: Logs, make: object = None) -> None:
         self.site = site
         told = site.told()
+        if site.fleet and "cold" in site.fleet.budgets:  # no loan yet: others may have all that is lent
+            own = Share("cold", len(site.fleet.member)).own
+            told = replace(told, routers=Part(own).look(0, own))
         super().__init__(logs, {band.name: band.effect for band in told.classes})
         self._chance = random.Random(f"{site.name}/{self.clock.wall_us()}")
         keep = site.ledger
@@ -98,6 +106,7 @@
         self.subscribers: list[Subscriber] = []
         self.amqp: list[AmqpLink] = []
         self.fleet: FleetLink | None = None
+        self.follower: Follower | None = None
         self._tasks: list[asyncio.Task] = []
         self._health: Server | None = None
         self.health_port = self.listener_port = 0
@@ -267,7 +276,7 @@
 
     def _follow_list(self, fresh: bool) -> None:
         workers = self.site.workers
-        told = lambda members: self.put(ports.Listed(members))  # noqa: E731
+        told = self._listed
         if workers.list:
             told_saved = lambda entries: self.put(ports.Saved(entries))  # noqa: E731
             self._service = sources.ListService(
@@ -287,19 +296,33 @@
                 self.keeper = Keeper(folder, self.clock, self.engine.list, self.log, self._loop.add_callback)
                 if fresh and (entries := self.keeper.load()):
                     told_saved(entries)
-            self._tasks.append(asyncio.ensure_future(self._service.run()))
+            if not (self.site.fleet and self.site.fleet.one_reader):
+                self._tasks.append(asyncio.ensure_future(self._service.run()))
         elif workers.file:
             watching = sources.watch_file(Path(workers.file), self.clock.started_us, told, self.log)
             self._tasks.append(asyncio.ensure_future(watching))
         else:
             told(sources.static(workers))
 
+    def _listed(self, members: io.Members) -> None:
+        """A list from its source; with a reader for the zone it is told to the others as well."""
+        if self.follower:
+            self.follower.told(members)
+        else:
+            self._tell_list(members)
+
+    def _tell_list(self, members: io.Members) -> None:
+        self.put(ports.Listed(members))
+
     async def _join_fleet(self) -> None:
         """Calls are served meanwhile, and without a fleet as well: nothing of them waits for it."""
         fleet = self.site.fleet
         assert fleet
         names = tuple(one.name for one in fleet.member)
         me = names.index(self.site.name)
+        zone = fleet.member[me].zone
+        shared = tuple(number for number, one in enumerate(fleet.member) if one.zone == zone)
+        alone: asyncio.Task | None = None
         while True:
             try:
                 told = FleetSettings(
@@ -312,6 +335,7 @@
                     tuple(one.lease for one in fleet.drill),
                     fleet.budgets,
                     fleet.before,
+                    ((f"list/{zone}", shared),) if fleet.one_reader else (),
                     key_of(fleet.key_file),
                 )
                 addresses = tuple(host_port(one.at) for one in fleet.member)
@@ -321,15 +345,43 @@
                 break
             except OSError as error:  # a predecessor may still have the socket; a key file may come later
                 self.log("error", "fleet-not-joined", why=str(error))
+                if fleet.one_reader and self._service and alone is None:
+                    alone = asyncio.ensure_future(self._service.run())
+                    self._tasks.append(alone)
                 await asyncio.sleep(FLEET_AGAIN_S)
+        if alone:
+            alone.cancel()
+            self._tasks.remove(alone)
         self.fleet = link
         self.log("info", "fleet-joined", members=len(names), epoch=fleet.epoch)
+        if fleet.one_reader and self._service:
+            self.follower = Follower(
+                link, f"list/{zone}", fleet.list_rate, self.clock, self._tell_list, self.log,
+                Backoff(self._chance),
+            )  # fmt: skip
+            self.follower.service = self._service
+            self._tasks.append(asyncio.ensure_future(self.follower.run()))
+        if "cold" in fleet.budgets:
+            self._tasks.append(asyncio.ensure_future(self._act_by_part()))
         drills = [
             Drill(link, one.lease, self.site.name, host_port(one.resource), one.act_ms / 1e3, self.log).run()
             for one in fleet.drill
         ]
         await asyncio.gather(*drills)
 
+    async def _act_by_part(self) -> None:
+        """Tell the module what part of the fleet's budget for starting workers is ours."""
+        assert self.fleet
+        share = self.fleet.node.shares["cold"]
+        part, before = Part(share.own), 0
+        while True:
+            now = self.fleet.now_us()
+            parts = min(share.parts(now), share.parts(now + AHEAD_US))
+            if (routers := part.look(now, parts)) != before:
+                before = routers
+                self.engine.divide_by(routers)
+            await asyncio.sleep(LOOK_S)
+
     def _admit(self, packet: Connect) -> Reason | None:
         users = self.site.listener.user if self.site.listener else ()
         if not users:
--- a/swiftwell/proof/holders.py
+++ b/swiftwell/proof/holders.py
@@ -23,3 +23,14 @@
                 break
             overlaps += other.who != act.who
     return overlaps, older
+
+
+def gaps(acts: Sequence[Act]) -> list[float]:
+    """For each change of holder, us from the last act of the one to the first of the next."""
+    ordered = sorted(acts, key=lambda act: act.began)
+    out, last = [], None
+    for act in ordered:
+        if last is not None and act.who != last.who:
+            out.append(float(max(0, act.began - (last.ended or last.began))))
+        last = act
+    return out
--- a/swiftwell/proof/rules.py
+++ b/swiftwell/proof/rules.py
@@ -29,6 +29,7 @@
     load_share: float = 0.0
     load_window_us: int = 0
     effects: dict[str, str] = field(default_factory=dict)  # class: safe, keyed or unsafe
+    passed_on_us: int = 0  # after which what one gateway was told counts as told to all; 0 is never
 
 
 @dataclass(slots=True)
@@ -116,9 +117,9 @@
                 deliveries[event["corr"]] += 1
                 given[event["corr"]].add(event["client"])
                 first.setdefault(event["corr"], event["t"])
-            case "killed":
+            case "killed" | "stopped":
                 away.down(f"gw {event['gw']}", event["t"])
-            case "ready":
+            case "ready" | "woken":
                 away.up(f"gw {event['gw']}", event["t"])
             case "broker-down":
                 away.down("broker", event["t"])
@@ -198,12 +199,24 @@
     """Rule 3: nothing new to a worker later than the grace after its gateway learned that it drains or is
     gone."""
     since: dict[tuple[str, str], int] = {}
+    up: set[str] = set()
     for event in events:
         match event["ev"]:
             case "told" if event["state"] == "running":
                 since.pop((event["gw"], event["worker"]), None)
+                if limits.passed_on_us:
+                    for gateway in up:
+                        since.pop((gateway, event["worker"]), None)
             case "told":
                 since.setdefault((event["gw"], event["worker"]), event["t"])
+                if limits.passed_on_us:  # the others hear it from the one that was told
+                    for gateway in up:
+                        since.setdefault((gateway, event["worker"]), event["t"] + limits.passed_on_us)
+            case "killed":
+                up.discard(event["gw"])
+            case "woken":  # it could learn nothing meanwhile
+                for pair in [pair for pair in since if pair[0] == event["gw"]]:
+                    since[pair] = max(since[pair], event["t"] + limits.passed_on_us)
             case "turned" if event["verdict"] == "draining":
                 since.setdefault((event["gw"], event["worker"]), event["t"])
             case "started":
@@ -211,6 +224,7 @@
                 for pair in [pair for pair in since if pair[1] == event["worker"]]:
                     del since[pair]
             case "ready":  # a gateway that was killed has forgotten
+                up.add(event["gw"])
                 for pair in [pair for pair in since if pair[0] == event["gw"]]:
                     del since[pair]
             case "recv" | "order":
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -243,6 +243,7 @@
 
     name: str = setting(arg=True, low=1, doc="name of the gateway, as its own settings have it")
     at: str = setting(low=1, doc="HOST:PORT where its datagrams go")
+    zone: str = setting("", doc="its zone: members of one share a reader of the list")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -266,7 +267,15 @@
     key_file: str = setting("", doc="file with the key that datagrams are checked by; empty is no check")
     member: tuple[FleetMember, ...] = setting((), node="member", doc="a member of the roster")
     before: tuple[str, ...] = setting((), doc="names of the roster that this epoch replaces, while it does")
-    budgets: tuple[str, ...] = setting((), doc="names of budgets that are divided")
+    budgets: tuple[str, ...] = setting(
+        (), doc="names of budgets that are divided; `cold` is what starting workers are offered"
+    )
+    one_reader: bool = setting(
+        False, doc="one member a zone asks the list service and passes the list on to the others"
+    )
+    list_rate: float = setting(
+        3.0, low=0.01, high=1_000, doc="questions a second that a zone asks the list service while none reads"
+    )
     drill: tuple[FleetDrill, ...] = setting((), node="drill", doc="an exercise")
 
 
@@ -450,6 +459,8 @@
         _addresses(reader, reader.line(drill), f"fleet: drill {drill.lease}", (drill.resource,))
     if fleet.listen:
         _addresses(reader, line, "fleet: listen", (fleet.listen,))
+    if fleet.one_reader and not site.workers.list:
+        reader.wrong(line, "fleet: one-reader wants a `list` in workers, which it reads for the others")
 
 
 def _amqp(reader: Reader, one: AmqpBroker) -> None:
--- a/swiftwell/standins/listing.py
+++ b/swiftwell/standins/listing.py
@@ -83,6 +83,7 @@
             return Response(404, {}, b"no such resource\n")
         query = {name: values[-1] for name, values in parse_qs(target.query).items()}
         gateway = request.headers.get("swiftwell-gateway", "")
+        self.trace.note("list-asked", gw=gateway)
         asked = int(query.get("index", "0")) if query.get("index", "0").isdigit() else 0
         wait = float(query.get("wait", "10s").rstrip("s") or 10)
         until = time.monotonic() + wait
--- /dev/null
+++ b/swiftwell/starting/part.py
@@ -0,0 +1,32 @@
+"""What part of a fleet's budget this router acts by, as the module is told it.  Decisions, no I/O.
+
+The module divides budgets by a number of routers.  A part of the whole that is lent for a time stands for
+such a number: a whole over the part.  It falls at once when a loan runs out, and rises slowly, as whoever had
+it before may have used its part of the span that a budget is counted over.
+"""
+
+from __future__ import annotations
+
+import math
+
+WHOLE = 1_000_000  # parts that a budget has, as loans are told
+RISE_US = (
+    2_000_000  # us in which a part may double: the span of a cold worker's budget, by the usual settings
+)
+AHEAD_US = 100_000  # us ahead that a part has to hold: two steps of the fleet, the time between two looks
+
+
+class Part:
+    """Our part of one budget."""
+
+    def __init__(self, parts: int) -> None:
+        self._parts, self._at = float(parts), 0
+
+    def look(self, now: int, parts: int) -> int:
+        """The number of routers to divide by, where `parts` are ours at least until AHEAD_US from now."""
+        passed, self._at = (now - self._at if self._at else 0), now
+        if parts < self._parts:
+            self._parts = float(parts)
+        else:
+            self._parts = min(float(parts), self._parts * 2 ** min(8.0, passed / RISE_US))
+        return max(1, math.ceil(WHOLE / max(1.0, self._parts)))
--- /dev/null
+++ b/tests/test_starting.py
@@ -0,0 +1,256 @@
+"""A zone's list: who reads it, how it is passed on, and what part of a budget is acted by.  No I/O here."""
+
+import itertools
+import random
+
+import pytest
+from test_fleet import Town
+
+from swiftwell.fleet import words
+from swiftwell.fleet.board import MOST_ENTRY, MOST_GONE, Board
+from swiftwell.starting.follow import seen
+from swiftwell.starting.lists import Ask, Reading, Seen, places
+from swiftwell.starting.part import RISE_US, Part
+
+SECOND = 1_000_000
+
+
+class Zone(Town):
+    """Nodes of one zone, each with a `Reading`; the list service is a dictionary that is up or not."""
+
+    def __init__(self, size, seed=1, rate=3.0, present=None):
+        group = tuple(range(size))
+        super().__init__(size, seed, boards=(("list", group),), period_us=500_000)
+        self.rate, self.group = rate, group
+        self.rows = {f"127.0.0.1:{40_000 + n}": b"row %d" % n + b"x" * 24 for n in range(50)}
+        self.up, self.asked, self.held = True, [], set(group)  # `held`: who reaches the service
+        self.down = set(group) - set(present if present is not None else group)
+        self.readings = [self._reading(me) for me in group]
+        self.wall = 1_000
+
+    def _reading(self, me):
+        return Reading(me, self.group, "list", self.rate, 500_000, self.now)
+
+    def again(self, me):
+        self.wall += 1
+        self.restart(me, self.wall)
+        self.readings[me] = self._reading(me)
+
+    def look(self, stopped=()):
+        """What starting/follow.py does, with a service that answers at once."""
+        for me in self.group:
+            if me in self.down or me in stopped:
+                continue
+            node, reading = self.nodes[me], self.readings[me]
+            board, lease = node.boards["list"], node.board_lease("list")
+            holds = lease.holds(self.now)
+            if lease.wanted != reading.reader:
+                node.want(self.now, lease.name, reading.reader)
+            was = reading.reader
+            what = reading.look(self.now, holds, seen(board))
+            if was and not (self.up and me in self.held):
+                reading.lost()
+            elif what is not Ask.NOT and not was:
+                self.asked.append((self.now, me, what))
+                reading.asked(self.now)
+                if self.up and me in self.held:
+                    reading.answered()
+                    board.write(self.now, self.now // 1_000, self.rows)
+                else:
+                    reading.lost()
+            elif reading.reader:
+                if not board.writing and (holds or what is not Ask.NOT):
+                    board.write(self.now, self.now // 1_000, self.rows)
+                elif board.writing:
+                    board.write(self.now, self.now // 1_000, self.rows)
+                    if self.now - board.beat_at >= board.period_us:
+                        board.beats(self.now)
+
+    def go(self, seconds, each=lambda: None, stopped=()):
+        self.run(seconds, lambda: (self.look(stopped), each()), stopped)
+
+    def has(self, me):
+        return self.nodes[me].boards["list"].entries() == self.rows
+
+    def readers(self):
+        return [me for me in self.group if me not in self.down and self.readings[me].reader]
+
+    def worst_second(self):
+        times = [at for at, _, what in self.asked if what is not Ask.ALONE]
+        return max((sum(0 <= b - a < SECOND for b in times) for a in times), default=0)
+
+
+@pytest.mark.parametrize("size, loss", [(5, 0.0), (60, 0.0), (60, 0.3), (200, 0.1)])
+def test_all_start_at_once_and_few_ask_for_the_list(size, loss):
+    zone = Zone(size)
+    zone.loss = loss
+    zone.go(3 + 40 * loss)
+    assert all(zone.has(me) for me in zone.group)
+    assert zone.worst_second() <= 4 and len(zone.asked) <= 7
+    zone.go(5)
+    assert len(zone.readers()) == 1 and len(zone.asked) <= 8
+    reader = zone.readers()[0]
+    assert zone.nodes[reader].board_lease("list").holds(zone.now)
+    # A change is with everyone soon after the reader has it; loss delays it by what is asked for again.
+    zone.rows = dict(list(zone.rows.items())[3:]) | {"127.0.0.1:9": b"new"}
+    zone.go(2 + 20 * loss)  # a step of this town takes fifty times a real one
+    assert all(zone.has(me) for me in zone.group)
+
+
+@pytest.mark.parametrize("how", ["killed", "stopped", "cut off", "deaf", "service"])
+def test_when_the_reader_falls_silent_another_takes_over(how):
+    zone = Zone(20, seed=3)
+    zone.go(8)
+    (reader,) = zone.readers()
+    others = set(zone.group) - {reader}
+    stopped, before = (), len(zone.asked)
+    match how:
+        case "killed":
+            zone.down = {reader}
+        case "stopped":
+            stopped = {reader}
+        case "cut off":
+            zone.cut = {pair for other in others for pair in ((reader, other), (other, reader))}
+        case "deaf":
+            zone.cut = {(other, reader) for other in others}
+        case "service":
+            zone.held -= {reader}
+    zone.go(1, stopped=stopped)
+    zone.rows = dict(list(zone.rows.items())[1:])
+    zone.go(7, stopped=stopped)
+    assert all(zone.has(me) for me in others)
+    asked = [one for one in zone.asked[before:] if one[1] != reader]
+    assert 1 <= len(asked) <= 6
+    zone.cut, zone.down, zone.held = set(), set(), set(zone.group)
+    if how == "killed":
+        zone.again(reader)
+    zone.go(8)
+    assert all(zone.has(me) for me in zone.group) and len(zone.readers()) == 1
+
+
+def test_the_service_sees_a_stated_rate_while_it_is_away_and_when_it_returns():
+    zone = Zone(60, seed=5)
+    zone.up = False
+    zone.go(20)
+    assert 30 <= len(zone.asked) <= 90 and zone.worst_second() <= 8
+    assert len({me for _, me, _ in zone.asked}) > 30  # turns, not one that insists
+    zone.up, before = True, len(zone.asked)
+    zone.go(3)
+    assert all(zone.has(me) for me in zone.group) and len(zone.asked) - before <= 8
+
+
+def test_one_that_hears_nobody_asks_as_it_would_without_a_fleet():
+    zone = Zone(8)
+    zone.cut = {(a, b) for a in zone.group for b in zone.group if a != b}
+    zone.go(4)
+    assert all(zone.has(me) for me in zone.group)
+    assert Reading(0, (0,), "list", 3.0, SECOND, 0).look(0, False, Seen(0, True, None, 0, 0)) is Ask.ALONE
+
+
+def test_nine_of_ten_that_never_come_and_one_that_starts_again_and_again():
+    zone = Zone(100, present=range(0, 100, 10))
+    zone.go(20)
+    assert all(zone.has(me) for me in range(0, 100, 10)) and zone.worst_second() <= 5
+    before = len(zone.asked)
+    for _ in range(30):
+        zone.again(30)
+        zone.go(1)
+    assert zone.has(30) and len(zone.asked) - before <= 12
+
+
+def test_one_that_stood_still_hears_the_others_before_it_asks():
+    """Woken after three seconds it took the reader for silent, and asked at once."""
+    zone = Zone(8, seed=2)
+    zone.go(6)
+    (reader,) = zone.readers()
+    zone.go(4, stopped={(reader + 1) % 8})
+    before = len(zone.asked)
+    zone.go(6)
+    assert len(zone.asked) == before and zone.readers() == [reader]
+
+
+def test_turns_are_the_same_at_everyone_and_others_for_each_silence():
+    assert places(range(50), 1) == places(reversed(range(50)), 1) != places(range(50), 2)
+    readings = [Reading(me, tuple(range(50)), "l", 5.0, SECOND, 0) for me in range(50)]
+    firsts = []
+    for now in range(0, 11_000_000, 10_000):
+        for one in readings:
+            if one.look(now, False, Seen(0, True, None, -(1 << 62), now)) is Ask.ONCE:
+                one.asked(now)
+                one.lost()
+                firsts.append((now, one.me))
+    assert sorted(me for _, me in firsts[:50]) == list(range(50))
+    assert all(b[0] - a[0] == 200_000 for a, b in itertools.pairwise(firsts))
+
+
+# --- the board ------------------------------------------------------------------------------------------
+
+
+def boards(count, seed=0):
+    return [Board("b", me, tuple(range(count)), 0, 500_000, seed) for me in range(count)]
+
+
+def mix(group, seconds, chance, loss=0.3, now=0, each=lambda now: None):
+    """Words between boards, in any order, lost, doubled."""
+    mail = []
+    for tick in range(int(seconds * 20)):
+        at = now + tick * 50_000
+        each(at)
+        for one in group:
+            mail += [(one.me, to, word) for to, word in one.step(at)]
+        for _ in range(4):  # some steps of answers a tick
+            chance.shuffle(mail)
+            now_, mail = mail, []
+            for sender, to, word in now_:
+                if chance.random() < loss:
+                    continue
+                for _ in range(2 if chance.random() < 0.2 else 1):
+                    mail += [(to, back, said) for back, said in group[to].take(at, sender, word)]
+    return now + int(seconds * SECOND)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_whatever_is_lost_doubled_or_late_all_come_to_hold_the_same(seed):
+    chance, group = random.Random(seed), boards(7, seed)
+    rows = {f"w{n}": b"%d" % n for n in range(40)}
+    writer = group[chance.randrange(7)]
+
+    def change(now):
+        if chance.random() < 0.3:
+            rows.pop(chance.choice(list(rows)), None)
+            rows[f"n{now}"] = b"new"
+            rows[chance.choice(list(rows))] = b"%d" % now
+            (writer if chance.random() < 0.9 else group[chance.randrange(7)]).write(now, now // 1_000, rows)
+
+    now = mix(group, 10, chance, each=change)
+    mix(group, 12, chance, now=now, each=lambda at: writer.writing or writer.write(at, at // 1_000, rows))
+    assert all(one.entries() == rows for one in group)
+    assert len({one.edition for one in group}) == 1
+    assert max(one.sizes()["entries"] for one in group) <= 2 * len(rows) + MOST_GONE + 2
+
+
+def test_what_a_board_may_hold_is_bounded_and_what_is_no_part_of_it_is_dropped():
+    one, other = boards(2)
+    with pytest.raises(ValueError, match="too long"):
+        one.write(0, 1, {"n": b"x" * MOST_ENTRY})
+    one.write(0, 1, {"n": b"x"})
+    assert other.take(0, 5, words.Notice("b", 9, 9, 9)) == [] and other.counts["stranger"] == 1
+    assert other.take(0, 0, words.Notice("b", 1 << 63, 9, 9)) == [] and other.counts["stranger"] == 2
+    other.take(0, 0, words.Part("b", 7, 5, 3, 9, True, []))
+    assert other.counts["bad-part"] == 1 and not other.entries()
+    one.write(0, 1, {})  # an empty list is a list, too
+    mix([one, other], 2, random.Random(1), loss=0.0)
+    assert other.edition == one.edition and other.changed and other.entries() == {}
+
+
+# --- parts of a budget ----------------------------------------------------------------------------------
+
+
+def test_a_part_falls_at_once_and_rises_slowly():
+    part = Part(100_000)
+    assert part.look(1, 100_000) == 10
+    assert part.look(2, 50_000) == 20
+    assert part.look(3, 1_000_000) == 20
+    assert part.look(3 + RISE_US, 1_000_000) == 10
+    assert part.look(3 + 9 * RISE_US, 1_000_000) == 1
+    assert part.look(4 + 9 * RISE_US, 0) > 900_000  # nothing at all: the module still divides by a number
