A gateway's start loads what it uses: commands one by one, AMQP, figures and handover when wanted

What a handover needs is loaded two seconds after the start and not at the handover: files may be another version's then.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -4,6 +4,7 @@
     python -m benchmarks.fleet detect [--sizes 5 20 60 200]            until the dead are known; false alarms
     python -m benchmarks.fleet shares [--seeds 3]                      sum of the parts in use over the budget
     python -m benchmarks.fleet lists [--gateways 60]             questions to the list, by readers or by all
+    python -m benchmarks.fleet path [--turns 5]                        CPU a call with the fleet on and off
     python -m benchmarks.fleet emulated [--sizes 60 200 1000]          detection in virtual time, same nodes
 
 Each prints one JSON object a play and adds it to docs/figures/fleet-trials.json; `make trials` plays all.
@@ -16,6 +17,7 @@
 import json
 import random
 import statistics
+import sys
 import tempfile
 import time
 from collections import defaultdict
@@ -27,11 +29,15 @@
 import msgspec
 import psutil
 
+from benchmarks import path as bench
+from swiftwell.fleet.link import FleetLink
 from swiftwell.fleet.members import Status
+from swiftwell.fleet.node import FleetSettings
 from swiftwell.fleet.shares import MILLION, STANDING
 from swiftwell.lab.town import Town
 from swiftwell.proof import days
 from swiftwell.proof.runner import Player
+from swiftwell.proof.together import free_ports
 
 FIGURES = Path(__file__).resolve().parent.parent / "docs" / "figures" / "fleet-trials.json"
 HEAD = """
@@ -282,6 +288,73 @@
     return out
 
 
+async def peers(args: argparse.Namespace) -> None:
+    """The other members of a fleet, in this process: real datagrams, no gateways."""
+    told = json.loads(args.plan)
+    names = tuple(f"gw-{n}" for n in range(len(told["ports"])))
+    at = tuple(("127.0.0.1", port) for port in told["ports"])
+    links = []
+    for me in range(1, len(names)):
+        settings = FleetSettings(
+            names, me, term_us=10_000_000, budgets=("cold",), leases=("job",),
+            boards=(("list/", tuple(range(len(names)))),),
+        )  # fmt: skip
+        links.append(FleetLink(settings, at[me], at, lambda *_, **__: None))
+        await links[-1].start()
+    print("{}", flush=True)
+    await asyncio.sleep(3_600)
+
+
+async def path(args: argparse.Namespace) -> list[dict[str, Any]]:
+    """Processor time that a call takes in one gateway, alone and as one of 60 that agree, turn by turn."""
+    out: dict[str, list[float]] = {"off": [], "on": []}
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "ports"
+        parts = [await bench.spawn("worker", str(file), "24")]
+        while not file.exists() or not file.read_text():
+            await asyncio.sleep(0.05)
+        workers = "; ".join(f'worker "127.0.0.1:{port}" kind="k"' for port in json.loads(file.read_text()))
+        ports = free_ports(args.gateways)
+        plan = json.dumps({"ports": ports})
+        words = (sys.executable, "-m", "benchmarks.fleet", "peers", "--plan", plan)
+        crowd = await asyncio.create_subprocess_exec(*words, stdout=asyncio.subprocess.PIPE)
+        parts.append(crowd)
+        assert crowd.stdout
+        await crowd.stdout.readline()
+        members = "; ".join(f'member "gw-{n}" at="127.0.0.1:{port}"' for n, port in enumerate(ports))
+        try:
+            for turn in range(args.turns):
+                for how in ("off", "on") if turn % 2 else ("on", "off"):
+                    site = Path(folder) / f"{how}{turn}.kdl"
+                    text = bench.SITE.format(state=Path(folder) / f"{how}{turn}", workers=workers)
+                    text = text.replace('name "bench"', 'name "gw-0"')
+                    site.write_text(
+                        text + (f'fleet {{ {members}; budgets "cold" }}\n' if how == "on" else "")
+                    )
+                    process = await bench.spawn("gateway", str(site), "module", "", core=bench.ALL[-1])
+                    assert process.stdout
+                    told = json.loads(await process.stdout.readline())
+                    await bench.load(told["port"], 100, 4, 8, "lectura", 60)
+                    mine = psutil.Process(process.pid)
+                    before = sum(mine.cpu_times()[:2])
+                    found = await bench.load(told["port"], 640, args.seconds, 16, "lectura", 60)
+                    spent = sum(mine.cpu_times()[:2]) - before
+                    out[how].append(spent / (found["per_second"] * args.seconds) * 1e6)
+                    process.terminate()
+                    await process.wait()
+        finally:
+            for part in parts:
+                part.kill()
+    off, on = (round(statistics.median(out[how]), 1) for how in ("off", "on"))
+    row = {
+        "trial": "path", "gateways": args.gateways, "turns": args.turns, "us_a_call_off": off,
+        "us_a_call_on": on, "ratio": round(on / off, 3),
+        "all": {how: [round(one, 1) for one in found] for how, found in out.items()},
+    }  # fmt: skip
+    say(row)
+    return [row]
+
+
 def emulated(args: argparse.Namespace) -> list[dict[str, Any]]:
     """The same nodes in virtual time."""
     out = []
@@ -332,12 +405,17 @@
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    parser.add_argument("trial", choices=("holders", "detect", "shares", "lists", "emulated"))
+    parser.add_argument(
+        "trial", choices=("holders", "detect", "shares", "lists", "path", "peers", "emulated")
+    )
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--changes", type=int, default=100)
     parser.add_argument("--together", type=int, default=3, help="plays at a time")
     parser.add_argument("--gateways", type=int, default=60)
     parser.add_argument("--sizes", type=int, nargs="+", default=[5, 20, 60, 200])
+    parser.add_argument("--turns", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--plan", default="", help="peers: where they are")
     args = parser.parse_args()
     if args.trial == "emulated":
         emulated(args)
--- a/swiftwell/cli/main.py
+++ b/swiftwell/cli/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import importlib
 import os
 import select
 import subprocess
@@ -13,18 +14,37 @@
 import msgspec
 import uvloop
 
-from swiftwell.cli.call import call
-from swiftwell.cli.day import day, demo
-from swiftwell.cli.fleet import fleet
-from swiftwell.cli.lab import lab
-from swiftwell.cli.lists import list_
-from swiftwell.cli.standin import standin
 from swiftwell.settings.document import SettingsError
 from swiftwell.settings.schema import reference
 from swiftwell.settings.site import Site, load
 
+ELSEWHERE = {  # command: module and name; loaded when it is used, as all of them take three times a start
+    "call": ("swiftwell.cli.call", "call"),
+    "day": ("swiftwell.cli.day", "day"),
+    "demo": ("swiftwell.cli.day", "demo"),
+    "fleet": ("swiftwell.cli.fleet", "fleet"),
+    "lab": ("swiftwell.cli.lab", "lab"),
+    "list": ("swiftwell.cli.lists", "list_"),
+    "standin": ("swiftwell.cli.standin", "standin"),
+}
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+
+class Lazy(click.Group):
+    """A group whose commands stand in modules of their own."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """All of them."""
+        return sorted([*super().list_commands(ctx), *ELSEWHERE])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        """One, loaded now."""
+        if name in ELSEWHERE:
+            module, found = ELSEWHERE[name]
+            return getattr(importlib.import_module(module), found)
+        return super().get_command(ctx, name)
+
+
+@click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """swiftwell: a gateway that runs calls on workers which load functions or models on demand."""
 
@@ -135,12 +155,3 @@
             click.echo(str(problem), err=True)
         click.echo(f"{site}: {len(error.problems)} problem(s)", err=True)
         sys.exit(2)
-
-
-main.add_command(call)
-main.add_command(day)
-main.add_command(demo)
-main.add_command(fleet)
-main.add_command(lab)
-main.add_command(list_)
-main.add_command(standin)
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -17,11 +17,9 @@
 import time
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
-import prometheus_client
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from tornado.ioloop import PeriodicCallback
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
@@ -33,12 +31,6 @@
 from swiftwell.fleet.link import FleetLink, key_of
 from swiftwell.fleet.node import FleetSettings
 from swiftwell.fleet.shares import Share
-from swiftwell.fronts.amqp.consumer import BrokerLink as AmqpBroker
-from swiftwell.fronts.amqp.consumer import Queue as AmqpQueue
-from swiftwell.fronts.amqp.contract import Contract as AmqpContract
-from swiftwell.fronts.amqp.link import Link as AmqpLink
-from swiftwell.fronts.amqp.redelivery import Redelivered
-from swiftwell.fronts.amqp.session import Login
 from swiftwell.fronts.host import Backoff
 from swiftwell.fronts.mqtt.codec import V5, V311, Connect, Reason
 from swiftwell.fronts.mqtt.contract import Contract
@@ -56,12 +48,14 @@
 from swiftwell.handover.books import Books
 from swiftwell.http.http1 import Request, Response
 from swiftwell.http.server import Server
-from swiftwell.settings.site import AmqpBroker as AmqpSettings
 from swiftwell.settings.site import Site, host_port
 from swiftwell.starting.follow import LOOK_S, Follower
 from swiftwell.starting.part import Part, routers
 from swiftwell.workers.link import Link, LinkBounds
 
+if TYPE_CHECKING:
+    from swiftwell.fronts.amqp.link import Link as AmqpLink
+
 STOP_S = 5.0  # s that calls in flight may take once the gateway is told to end; then they get their answers
 SWEEP_S = 1.0
 FLEET_AGAIN_S = 0.5  # s between two tries to open the fleet's socket
@@ -195,9 +189,10 @@
                 open=broker.open_calls,
             )  # fmt: skip
             self.subscribers.append(Subscriber(self, contract, link, self._chance))
-        for one in site.amqp:
-            amqp_contract = AmqpContract(site.topic, deadlines, site.hint, alone)
-            self.amqp.append(AmqpLink(self, amqp_contract, amqp_link(one, site), self._chance, alone))
+        if site.amqp:  # a tenth of a start, for those who use it
+            from swiftwell.gateway.amqp import links
+
+            self.amqp += links(self, site, deadlines, self._chance)
         if site.health:
             self._health = Server(self._answer)
 
@@ -401,9 +396,9 @@
             told = self.fleet.node.status(self.fleet.now_us()) if self.fleet else None
             return Response(200, {"content-type": "application/json"}, msgspec.json.encode(told) + b"\n")
         if request.target == "/metrics":
-            registry = prometheus_client.CollectorRegistry()
-            registry.register(self)  # type: ignore[arg-type]
-            return Response(200, {"content-type": "text/plain"}, prometheus_client.generate_latest(registry))
+            from swiftwell.gateway.metrics import page  # a tenth of a start, for those who ask
+
+            return Response(200, {"content-type": "text/plain"}, page(self))
         if request.target.startswith("/v1/health/service/") and self._service:
             return self._list_for_peers()
         return Response(404, {}, b"no such page\n")
@@ -423,21 +418,6 @@
         headers = {"x-consul-index": str(self._service.index), "x-swiftwell-age-ms": str(age_ms)}
         return Response(200, headers, msgspec.json.encode(shown))
 
-    def collect(self) -> list[object]:
-        """Figures for Prometheus: counters of the engine, answers by class, the size of every table."""
-        replies = CounterMetricFamily(
-            "swiftwell_replies", "answers given", labels=["class", "kind", "reason"]
-        )
-        for labels, count in self.replies.items():
-            replies.add_metric(list(labels), count)
-        events = CounterMetricFamily("swiftwell_events", "what the engine did", labels=["event"])
-        for name, count in self.engine.counts.items():
-            events.add_metric([name], count)
-        sizes = GaugeMetricFamily("swiftwell_size", "entries in a table", labels=["table"])
-        for name, size in self.sizes().items():
-            sizes.add_metric([name], size)
-        return [replies, events, sizes]
-
     def sizes(self) -> dict[str, int]:
         """The size of everything held."""
         found = tables(self.engine) | self.link.sizes()
@@ -509,22 +489,3 @@
     def _succeed(self, words: list[str]) -> None:
         self.log("info", "successor", words=" ".join(words))
         subprocess.Popen(words, start_new_session=True, stdin=subprocess.DEVNULL)
-
-
-def amqp_link(one: AmqpSettings, site: Site) -> AmqpBroker:
-    """A broker of the settings, as its link wants it."""
-    login = Login(
-        site.name, one.username, one.password, one.vhost, one.heartbeat_s, one.frame_bytes, one.body_bytes
-    )
-    queues = tuple(
-        AmqpQueue(
-            queue.name, queue.declare, queue.durable, queue.exchange, queue.exchange_type, queue.key,
-            queue.dead_letter, queue.max_priority,
-        )
-        for queue in one.queues
-    )  # fmt: skip
-    return AmqpBroker(
-        one.name, tuple(map(host_port, one.address)), login, queues, one.prefetch_least, one.prefetch_most,
-        Redelivered(one.redelivered), one.dead_letter, one.unroutable, one.waiting_answers, one.open_calls,
-        one.waiting_bytes,
-    )  # fmt: skip
--- a/swiftwell/handover/old.py
+++ b/swiftwell/handover/old.py
@@ -14,10 +14,9 @@
 import socket
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from swiftwell import __version__
-from swiftwell.handover import state
 from swiftwell.handover.channel import Broken, Channel
 from swiftwell.handover.fault import step
 
@@ -28,6 +27,7 @@
 HELLO_S = 2.0  # s for the new process to say who it is
 PREPARE_S = 20.0  # s for it to read its settings and get ready; calls go on meanwhile
 REST_S = 0.5  # s for this process to come to rest: the ledger's disk may be slow
+LOAD_S = 2.0  # s after a start until what a handover needs is loaded: first calls come before it
 FROZEN_S = 1.0  # s that each step may take while nobody is served; beyond it the old process carries on
 
 
@@ -36,6 +36,14 @@
     return Path(state_folder) / "handover.sock"
 
 
+def _state() -> Any:
+    """What takes the state out.  A sixth of a start to load, so it waits until calls are served; not until a
+    handover, when the files on disk may be another version's."""
+    from swiftwell.handover import state
+
+    return state
+
+
 class Offer:
     """Listens for successors, one at a time.  `busy` while one is served."""
 
@@ -65,6 +73,7 @@
         if self._sock is None:
             return
         loop = asyncio.get_running_loop()
+        loop.call_later(LOAD_S, _state)
         while True:
             sock, _ = await loop.sock_accept(self._sock)
             task = asyncio.ensure_future(self._serve(Channel(sock)))
@@ -93,7 +102,7 @@
             channel.close()
 
     async def _hand_over(self, channel: Channel, pid: int) -> None:
-        gateway = self._gateway
+        gateway, state = self._gateway, _state()
         hello = await asyncio.to_thread(channel.receive, HELLO_S, "hello")
         _agree(hello, gateway.site.name)
         gateway.log("info", "handover", step="hello", pid=pid, version=hello.get("version"))
@@ -125,6 +134,7 @@
 
     def _give(self, channel: Channel) -> bool:
         """From here nobody is served until it is over.  In a thread, as the channel waits."""
+        state = _state()
         told, fds = state.take(self._gateway)
         raw = state.encode(told)
         channel.send("state", FROZEN_S, state=raw, fds=len(fds))
