A function's copy is ordered once by the fleet; a cold start is accounted by the second

Each gateway ordered the copies that its own calls wanted: in a start of 20 gateways two for one copy, 157 in all. With fleet one-order a member that all agree on lets one order go (starting/copies, no promise rests on it); a silent one is passed over after 150 ms, what has to wait never goes out later. proof/account tells calls for the list, connections, cold offers and orders at workers, processor time of starts and service by second. A gateway that is being restarted is no longer stopped by the runner.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -4,6 +4,7 @@
     python -m benchmarks.fleet detect [--sizes 5 20 60 200]            until the dead are known; false alarms
     python -m benchmarks.fleet shares [--seeds 3]                      sum of the parts in use over the budget
     python -m benchmarks.fleet lists [--gateways 60]             questions to the list, by readers or by all
+    python -m benchmarks.fleet cold [--sizes 20 60 200] [--seeds 1]  all start at once; on and off
     python -m benchmarks.fleet path [--turns 5]                        CPU a call with the fleet on and off
     python -m benchmarks.fleet emulated [--sizes 60 200 1000]          detection in virtual time, same nodes
 
@@ -288,6 +289,43 @@
     return out
 
 
+COLD = """
+doc "All gateways and workers start at once under load."
+seconds {seconds}
+gateways {size}
+passed-on-ms 8000
+together term-ms=5000 period-ms=1000 zones=3 drill=false one-reader={on} one-order={on} {{ {budgets} }}
+warm true
+class "lectura" wanted-ms=1000 deadline-ms=2500 worth=2 share=0.6 work-ms=40 functions=30
+class "consulta" wanted-ms=500 deadline-ms=2500 worth=2 share=0.25 work-ms=30 functions=10
+class "consigna" effect="unsafe" wanted-ms=800 deadline-ms=2500 worth=3 share=0.15 work-ms=40 lanes=1
+kind "estandar" workers={workers} cores=4 speed=1.0 memory-mb=8000
+publishers "console" rate={rate} clients={clients}
+trouble "herd" at=12 for-s=0.2 gateways=1.0
+trouble "die" at=12 for-s=1 workers={dying}
+"""
+
+
+async def cold(args: argparse.Namespace) -> list[dict[str, Any]]:
+    """All routers and half of the workers die at once and start again; clients come all the while."""
+    out = []
+    for size in args.sizes:
+        for seed in range(1, args.seeds + 1):
+            for on in ("false", "true"):
+                workers = max(8, min(48, size // 4))
+                text = COLD.format(
+                    size=size, on=on, workers=workers, dying=workers // 2, rate=max(40, size),
+                    clients=2 * size,
+                    budgets='budgets "cold"' if on == "true" else "", seconds=50 + size // 10,
+                )  # fmt: skip
+                told = await play("cold", days.read(text, "cold.kdl"), seed)
+                row = {"trial": "cold", "gateways": size, "seed": seed, "one_reader": on == "true"}
+                row |= _short(told) | {"account": told["account"]}
+                out.append(row)
+                say(row)
+    return out
+
+
 async def peers(args: argparse.Namespace) -> None:
     """The other members of a fleet, in this process: real datagrams, no gateways."""
     told = json.loads(args.plan)
@@ -406,7 +444,7 @@
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
     parser.add_argument(
-        "trial", choices=("holders", "detect", "shares", "lists", "path", "peers", "emulated")
+        "trial", choices=("holders", "detect", "shares", "lists", "cold", "path", "peers", "emulated")
     )
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--changes", type=int, default=100)
--- a/swiftwell/fleet/node.py
+++ b/swiftwell/fleet/node.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from swiftwell.fleet import words
@@ -65,6 +65,7 @@
         self.lenders: dict[str, Lender] = {}
         self.counts: Counter[str] = Counter()
         self.holders: dict[str, int] = {}  # lease of a budget: who lends, by what we were told last
+        self.users: dict[str, Callable[[int, int, bytes], None]] = {}  # name: takes now, sender, body
         self._now = now
         self._rates: dict[int, list[float]] = {}
         self._out: dict[int, list[Word]] = {}
@@ -81,6 +82,10 @@
         numbers = tuple(tuple(at.get(one, -1 - n) for n, one in enumerate(group)) for group in groups)
         return Candidate(name, told.me, self.members.life, numbers, told.term_us, wall_ms, seed)
 
+    def say(self, to: int, name: str, body: bytes) -> None:
+        """A word of a user of the fleet to another; it goes out with the next step."""
+        self._send([(to, words.Said(name, body))])
+
     def board_lease(self, name: str) -> Candidate:
         """The lease of whoever writes a board."""
         return self.leases[f"board/{name}/{self.told.epoch}"]
@@ -179,6 +184,9 @@
             case words.Held():
                 if word.name in self.leases and 0 <= word.holder < len(self.told.roster):
                     self.holders[word.name] = word.holder
+            case words.Said():
+                if user := self.users.get(word.name):
+                    user(now, sender, word.body)
             case words.Notice() | words.Fetch() | words.Part():
                 if board := self.boards.get(word.name):
                     self._send(board.take(now, sender, word))
--- a/swiftwell/fleet/words.py
+++ b/swiftwell/fleet/words.py
@@ -156,9 +156,16 @@
     entries: list[tuple[str, bytes]]
 
 
+class Said(Word, frozen=True, tag=40):
+    """Something that a user of the fleet says to another, under a name that both know."""
+
+    name: str
+    body: bytes
+
+
 AnyWord = (
     Ping | Ack | Ask | News | Prepare | Promise | Refuse | Propose | Granted | Release | Want | Loan | Held
-    | Notice | Fetch | Part
+    | Notice | Fetch | Part | Said
 )  # fmt: skip
 
 
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -209,6 +209,8 @@
                 self._durable(given.number)
             case ports.OrderEnd():
                 self._order_ended(given)
+            case ports.Copy():
+                self._events.append(io.Loaded(given.worker, given.function, Status.OK, 0, given.copies))
             case ports.Listed():
                 self._events.append(self._same(self.list.listed(self._now, given.members)))
                 self._confirm(given.members)
--- a/swiftwell/gateway/ports.py
+++ b/swiftwell/gateway/ports.py
@@ -66,6 +66,14 @@
     answered: bool = False
 
 
+class Copy(Struct, frozen=True):
+    """Another gateway knows of copies of a function at a worker."""
+
+    worker: str
+    function: str
+    copies: int
+
+
 class Listed(Struct, frozen=True):
     """A live list of workers, or a change to it."""
 
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -50,6 +50,7 @@
 from swiftwell.http.server import Server
 from swiftwell.settings.site import Site, host_port
 from swiftwell.starting.follow import LOOK_S, Follower
+from swiftwell.starting.orders import Orders
 from swiftwell.starting.part import Part, routers
 from swiftwell.workers.link import Link, LinkBounds
 
@@ -86,7 +87,7 @@
         bounds = LinkBounds(
             w.connections, w.connect_ms / 1e3, w.answer_bytes, order_s=w.order_timeout_ms / 1e3
         )
-        self.link = Link(site.name, bounds, self.put, self.log, self.clock.started_us)
+        self.link = Link(site.name, bounds, self._from_workers, self.log, self.clock.started_us)
         self.keeper: Keeper | None = None
         self._service: sources.ListService | None = None
         self._lock = -1
@@ -101,6 +102,7 @@
         self.amqp: list[AmqpLink] = []
         self.fleet: FleetLink | None = None
         self.follower: Follower | None = None
+        self.orders: Orders | None = None
         self._tasks: list[asyncio.Task] = []
         self._health: Server | None = None
         self.health_port = self.listener_port = 0
@@ -115,9 +117,19 @@
     def _carry(self, out: ports.Output) -> None:
         if isinstance(out, ports.Write) and self.journal:
             self.journal.append(out.record)
+        elif isinstance(out, ports.Order) and self.orders:
+            known = self.engine.router.functions.get(out.function)
+            holders = known.holding(self.clock.now_us()) if known else ()
+            self.orders.order(out, len(holders))
         else:
             super()._carry(out)
 
+    def _from_workers(self, what: ports.Input) -> None:
+        """What happened at a worker."""
+        if isinstance(what, ports.OrderEnd) and self.orders:
+            self.orders.ended(what)
+        self.put(what)
+
     # Start and end.
 
     async def start(self) -> None:
@@ -356,6 +368,9 @@
             )  # fmt: skip
             self.follower.service = self._service
             self._tasks.append(asyncio.ensure_future(self.follower.run()))
+        if fleet.one_order:
+            self.orders = Orders(link, self.link.order, self.put)
+            self._tasks.append(asyncio.ensure_future(self._look_at_orders()))
         if "cold" in fleet.budgets:
             self._tasks.append(asyncio.ensure_future(self._act_by_part()))
         drills = [
@@ -364,6 +379,12 @@
         ]
         await asyncio.gather(*drills)
 
+    async def _look_at_orders(self) -> None:
+        assert self.orders
+        while True:
+            self.orders.look()
+            await asyncio.sleep(LOOK_S)
+
     async def _act_by_part(self) -> None:
         """Tell the module what part of the fleet's budget for starting workers is ours."""
         assert self.fleet
--- a/swiftwell/http/server.py
+++ b/swiftwell/http/server.py
@@ -20,9 +20,11 @@
     The handler may write to the stream itself and return None, which ends the connection.
     """
 
-    def __init__(self, handler: Handler, most_body: int = 1 << 20) -> None:
+    def __init__(
+        self, handler: Handler, most_body: int = 1 << 20, opened: Callable[[int], None] = lambda open: None
+    ) -> None:
         super().__init__()
-        self._handler, self._most = handler, most_body
+        self._handler, self._most, self._opened = handler, most_body, opened
         self.streams: set[IOStream] = set()
 
     def start_on(
@@ -35,6 +37,7 @@
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         stream.set_nodelay(True)
         self.streams.add(stream)
+        self._opened(len(self.streams))
         parser = Parser(False, self._most)
         try:
             while True:
--- a/swiftwell/proof/days.py
+++ b/swiftwell/proof/days.py
@@ -140,6 +140,7 @@
     act_ms: int = setting(20, low=1, high=10_000, doc="ms of such an act")
     checks: bool = setting(True, doc="the resource turns an older token away")
     one_reader: bool = setting(True, doc="one gateway a zone reads the list for the others")
+    one_order: bool = setting(True, doc="a function's copy is ordered once")
     list_rate: float = setting(3.0, low=0.01, doc="questions a second to the list while nobody reads")
     budgets: tuple[str, ...] = setting(("cold",), doc="budgets that are divided")
 
--- a/swiftwell/proof/runner.py
+++ b/swiftwell/proof/runner.py
@@ -22,6 +22,7 @@
 from swiftwell.fleet.link import RATE_SWITCH
 from swiftwell.handover.new import STEPS
 from swiftwell.proof import days
+from swiftwell.proof.account import account
 from swiftwell.proof.rules import check
 from swiftwell.proof.together import Town
 from swiftwell.proof.trace import Trace, read
@@ -33,6 +34,15 @@
 END_S = 30.0  # s that publishers may take beyond their calls
 
 
+def cpu_s(pid: int) -> float:
+    """Processor time that a process has taken, in s; 0 where the system does not tell (proc(5))."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return 0.0
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 class DayFailed(Exception):
     """The day could not be played; the text says which program failed, and how."""
 
@@ -81,11 +91,19 @@
             raise DayFailed(f"{self.name}: {answer.get('error')}")
         return answer
 
+    def send(self, number: int) -> bool:
+        """Send it a signal; False where it has ended already, as one that is being restarted."""
+        if self.process.returncode is not None:
+            return False
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+            return True
+        return False
+
     async def end(self, how: int = signal.SIGTERM, within_s: float = 10.0) -> int:
         """End it; its exit code."""
         if self.process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(how)
+            self.send(how)
             try:
                 await asyncio.wait_for(self.process.wait(), within_s)
             except TimeoutError:
@@ -146,6 +164,8 @@
             result["sharing"] = sharing(events)
         if any(one.do == "restart" for one in self.day.troubles):
             result["warm"] = warmth(events)
+        if self.town and any(one.do == "herd" for one in self.day.troubles):
+            result["account"] = account(events)
         if self.town:
             result["fleet"] = fleet = self.town.verdict(events)
             overlaps = fleet["overlaps"] if self._bounded() else 0  # else the resource's check is what holds
@@ -279,7 +299,7 @@
             env=self._clocks.get(number),
         )
         self._ports[number], self.health[number] = told["listener"], told["health"]
-        self._trace.note("ready", gw=f"gw-{number}", port=told["listener"])
+        self._trace.note("ready", gw=f"gw-{number}", port=told["listener"], cpu_s=cpu_s(told["pid"]))
         return program
 
     async def _through(self) -> None:
@@ -393,12 +413,13 @@
             case "herd":
                 await asyncio.gather(*(self._kill(number, one.for_s) for number in numbers))
             case "stop":
-                for number in numbers:
+                stopped = [(number, self._gateways[number]) for number in numbers]
+                stopped = [(number, program) for number, program in stopped if program.send(signal.SIGSTOP)]
+                for number, _ in stopped:
                     self._trace.note("stopped", gw=f"gw-{number}")
-                    self._gateways[number].process.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(one.for_s)
-                for number in numbers:
-                    self._gateways[number].process.send_signal(signal.SIGCONT)
+                for number, program in stopped:
+                    program.send(signal.SIGCONT)
                     self._trace.note("woken", gw=f"gw-{number}")
             case "cut" | "deafen":
                 before = set(faults.cut)
--- a/swiftwell/proof/together.py
+++ b/swiftwell/proof/together.py
@@ -34,6 +34,7 @@
     def __init__(self, day: Day, seed: int) -> None:
         assert day.together
         self.told, self.size = day.together, day.gateways
+        self._rationed = day.load_window_ms > 0
         self.names = [f"gw-{number}" for number in range(self.size)]
         self.ports = free_ports(self.size)
         self.relay = Relay(self.ports, seed)
@@ -60,10 +61,11 @@
         )
         drill = f'    drill "{LEASE}" resource="127.0.0.1:{self.lines.ports[me]}" act-ms={told.act_ms}'
         budgets = " ".join(f'"{budget}"' for budget in told.budgets)
-        reader = "true" if told.one_reader else "false"
+        reader, order = (str(one).lower() for one in (told.one_reader, told.one_order and not self._rationed))
         return (
             f"fleet term-ms={told.term_ms} period-ms={told.period_ms} voters={told.voters} "
-            f"epoch={self.epoch} one-reader={reader} list-rate={told.list_rate} {{\n{members}\n"
+            f"epoch={self.epoch} one-reader={reader} one-order={order} "
+            f"list-rate={told.list_rate} {{\n{members}\n"
             f"{drill if told.drill else ''}\n    {f'budgets {budgets}' if budgets else ''}\n"
             f"    {self.before}\n}}"
         )
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -273,6 +273,10 @@
     one_reader: bool = setting(
         False, doc="one member a zone asks the list service and passes the list on to the others"
     )
+    one_order: bool = setting(
+        False,
+        doc="a function's copy is ordered once, by whoever is let by the member asked for that function",
+    )
     list_rate: float = setting(
         3.0, low=0.01, high=1_000, doc="questions a second that a zone asks the list service while none reads"
     )
@@ -459,6 +463,9 @@
         _addresses(reader, reader.line(drill), f"fleet: drill {drill.lease}", (drill.resource,))
     if fleet.listen:
         _addresses(reader, line, "fleet: listen", (fleet.listen,))
+    if fleet.one_order and site.workers.load_window_ms:
+        text = "fleet: one-order wants no load-window-ms: orders that are held back count before they go"
+        reader.wrong(line, text)
     if fleet.one_reader and not site.workers.list:
         reader.wrong(line, "fleet: one-reader wants a `list` in workers, which it reads for the others")
 
--- a/swiftwell/standins/worker.py
+++ b/swiftwell/standins/worker.py
@@ -60,7 +60,7 @@
 
     def start(self, port: int = 0) -> int:
         """Listen; returns the port."""
-        self._server = Server(self._answer)
+        self._server = Server(self._answer, opened=self._connected)
         self._port = self._server.start_on(port)
         self.name = f"127.0.0.1:{self._port}"
         return self._port
@@ -88,7 +88,7 @@
         self.model = CalcServer(self.machine, _now(), cold=True, keys=self._keys)
         self.started_ms = time.time() * 1e3
         self.draining = self.down = False
-        self._server = Server(self._answer)
+        self._server = Server(self._answer, opened=self._connected)
         self._server.start_on(self._port)
         self.trace.note("started", worker=self.name)
         self._tell("running")
@@ -100,6 +100,9 @@
         self._tell("draining")
         IOLoop.current().call_later(end_s, self.die, back_s)
 
+    def _connected(self, open: int) -> None:
+        self.trace.note("connection", worker=self.name, open=open)
+
     def _tell(self, state: str) -> None:
         if self._changed:
             self._changed(self, state)  # type: ignore[operator]
@@ -144,7 +147,7 @@
 
     def _listen_again(self) -> None:
         if not self.down:
-            self._server = Server(self._answer)
+            self._server = Server(self._answer, opened=self._connected)
             self._server.start_on(self._port)
 
     def _thaw(self) -> None:
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -8,6 +8,7 @@
 from swiftwell.fleet import words
 from swiftwell.fleet.board import MOST_ENTRY, MOST_GONE, Board
 from swiftwell.lab.town import Town
+from swiftwell.starting.copies import ASKED_US, MOST_FUNCTIONS, TRIES, Copies, Do, ranked
 from swiftwell.starting.follow import seen
 from swiftwell.starting.lists import Ask, Reading, Seen, places
 from swiftwell.starting.part import RISE_US, Part
@@ -254,3 +255,110 @@
     assert part.look(3 + RISE_US, 1_000_000) == 10
     assert part.look(3 + 9 * RISE_US, 1_000_000) == 1
     assert part.look(4 + 9 * RISE_US, 0) > 900_000  # nothing at all: the module still divides by a number
+
+
+# --- one order for a copy -------------------------------------------------------------------------------
+
+
+class Loads:
+    """Routers that want copies, words between them that are lost, orders that take a second at a worker."""
+
+    def __init__(self, size, seed=1, loss=0.0):
+        self.chance, self.loss, self.now = random.Random(seed), loss, 1_000_000
+        self.group = tuple(range(size))
+        self.all = [Copies(me, self.group, 0) for me in self.group]
+        self.down, self.mail, self.ends, self.orders, self.acts, self.number = set(), [], [], [], [], 0
+
+    def want(self, me, function="f", worker="w", known=0):
+        self.number += 1
+        self._do(me, self.all[me].want(self.now, self.number, function, worker, known, self.living()))
+        return self.number
+
+    def living(self):
+        return [one for one in self.group if one not in self.down]
+
+    def _do(self, me, out):
+        sends, acts = out
+        self.mail += [(me, to, word) for to, word in sends]
+        for act in acts:
+            self.acts.append((me, act))
+            if act.do is Do.ORDER:
+                self.orders.append((self.now, me, act.function, act.worker))
+                self.ends.append((self.now + SECOND, me, act.number))
+
+    def run(self, seconds, fails=False):
+        end = self.now + int(seconds * SECOND)
+        while self.now < end:
+            self.now += 10_000
+            mail, self.mail = self.mail, []
+            for sender, to, word in mail:
+                if to not in self.down and self.chance.random() >= self.loss:
+                    self._do(to, self.all[to].take(self.now, sender, word))
+            due = [one for one in self.ends if one[0] <= self.now and one[1] not in self.down]
+            self.ends = [one for one in self.ends if one not in due]
+            for _, me, number in due:
+                self._do(me, self.all[me].ended(self.now, number, 0 if fails else 1))
+            for me in self.living():
+                self._do(me, self.all[me].step(self.now, self.living()))
+
+
+@pytest.mark.parametrize("loss, most", [(0.0, 1), (0.1, 2)])
+def test_two_hundred_that_want_the_same_copy_order_it_once(loss, most):
+    loads = Loads(200, loss=loss)
+    for me in loads.group:
+        loads.want(me)
+    loads.run(3)
+    assert 1 <= len(loads.orders) <= most + 200 * loss**2 * 3
+    heard = [act for _, act in loads.acts if act.do is Do.STANDS]
+    assert len(heard) >= 199 * (1 - 3 * loss) and {act.worker for act in heard} == {"w"}
+    again = loads.want(5)  # it stands: no order
+    loads.run(0.5)
+    assert [act.do for _, act in loads.acts if act.number == again] == [Do.STANDS] or loss
+    further = loads.want(6, worker="w2", known=1)  # it knows of the copy and wants one more
+    loads.run(0.5)
+    assert [act.do for _, act in loads.acts if act.number == further] == [Do.ORDER]
+
+
+def test_when_the_one_asked_or_the_one_let_go_dies_the_copy_is_ordered_all_the_same():
+    first = ranked(range(40), "f")[0]
+    loads = Loads(40, seed=2)
+    loads.down = {first}
+    wants = [one for one in loads.group if one != first]
+    for me in wants:
+        loads.want(me)
+    loads.run(0.1)
+    assert not loads.orders
+    loads.run(2)
+    assert len(loads.orders) == 1 and loads.orders[0][0] < 1_400_000
+    # The one that was let go dies with its order: those who wait hear that nothing came of it.
+    loads = Loads(40, seed=3)
+    for me in loads.group:
+        loads.want(me)
+    loads.run(0.2)
+    (order,) = loads.orders
+    loads.down = {order[1]}
+    loads.run(6)
+    done = {me for me, act in loads.acts if act.do is Do.NOTHING}
+    assert done >= set(loads.group) - {order[1], first} and not any(one.wishes for one in loads.all)
+    loads.want(7)
+    loads.run(2)
+    assert len(loads.orders) == 2
+
+
+def test_an_order_that_fails_is_told_and_nothing_waits_longer_than_its_bound():
+    loads = Loads(10)
+    for me in loads.group:
+        loads.want(me, worker=f"w{me}")
+    loads.run(2, fails=True)
+    assert len(loads.orders) == 1 and sum(act.do is Do.NOTHING for _, act in loads.acts) == 9
+    lonely = Loads(5)
+    lonely.down = {1, 2, 3, 4}
+    began = lonely.now
+    lonely.want(0, "g")
+    lonely.run(1)
+    assert len(lonely.orders) == 1 and lonely.orders[0][0] - began <= TRIES * ASKED_US + 50_000
+    many = Copies(0, (0,), 0)
+    for number in range(MOST_FUNCTIONS + 50):
+        many.want(0, number, f"f{number}", "w", 0, [0])
+        many.ended(0, number, 1)
+    assert many.sizes() == {"wishes": 0, "functions": MOST_FUNCTIONS, "under-way": 0}
