--- a/swiftwell/cli/fleet.py
+++ b/swiftwell/cli/fleet.py
@@ -5,6 +5,7 @@
 import sys
 import urllib.error
 import urllib.request
+from pathlib import Path
 from typing import Any
 
 import click
@@ -75,3 +76,29 @@
         f"voters {', '.join(one['voters'])}; won {one['won']}, lost {one['lost']}"
         for one in told
     ])  # fmt: skip
+
+
+@fleet.command(name="start-plan")
+@click.argument("site", type=click.Path(path_type=Path))
+@click.option(
+    "--routers", type=click.IntRange(1, 100_000), help="Gateways that start; the members by default."
+)
+@click.option(
+    "--cores", type=click.FloatRange(0.1), default=8.0, show_default=True, help="Of all machines together."
+)
+@_JSON
+def start_plan(site: Path, routers: int | None, cores: float, as_json: bool) -> None:
+    """What a start of all gateways of SITE asks of the list service and the workers, at most."""
+    from swiftwell.settings.document import SettingsError
+    from swiftwell.settings.site import load
+    from swiftwell.starting.plan import lines, plan
+
+    try:
+        found = load(site)
+    except SettingsError as error:
+        for problem in error.problems:
+            click.echo(str(problem), err=True)
+        sys.exit(2)
+    count = routers or (len(found.fleet.member) if found.fleet else found.gateways)
+    told = plan(found, count, cores)
+    _say({name: getattr(told, name) for name in told.__slots__}, as_json, lines(told, found))
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -329,6 +329,7 @@
         me = names.index(self.site.name)
         zone = fleet.member[me].zone
         shared = tuple(number for number, one in enumerate(fleet.member) if one.zone == zone)
+        zones = len({one.zone for one in fleet.member})
         alone: asyncio.Task | None = None
         while True:
             try:
@@ -363,7 +364,7 @@
         self.log("info", "fleet-joined", members=len(names), epoch=fleet.epoch)
         if fleet.one_reader and self._service:
             self.follower = Follower(
-                link, f"list/{zone}", fleet.list_rate, self.clock, self._tell_list, self.log,
+                link, f"list/{zone}", fleet.list_rate / zones, self.clock, self._tell_list, self.log,
                 Backoff(self._chance),
             )  # fmt: skip
             self.follower.service = self._service
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -278,7 +278,10 @@
         doc="a function's copy is ordered once, by whoever is let by the member asked for that function",
     )
     list_rate: float = setting(
-        3.0, low=0.01, high=1_000, doc="questions a second that a zone asks the list service while none reads"
+        3.0,
+        low=0.01,
+        high=1_000,
+        doc="questions a second that all zones together ask the list service while nobody reads",
     )
     drill: tuple[FleetDrill, ...] = setting((), node="drill", doc="an exercise")
 
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -1,10 +1,14 @@
 """A zone's list: who reads it, how it is passed on, and what part of a budget is acted by.  No I/O here."""
 
 import itertools
+import json
 import random
 
 import pytest
+from click.testing import CliRunner
+from socketbench import SITE
 
+from swiftwell.cli.main import main
 from swiftwell.fleet import words
 from swiftwell.fleet.board import MOST_ENTRY, MOST_GONE, Board
 from swiftwell.lab.town import Town
@@ -362,3 +366,25 @@
         many.want(0, number, f"f{number}", "w", 0, [0])
         many.ended(0, number, 1)
     assert many.sizes() == {"wishes": 0, "functions": MOST_FUNCTIONS, "under-way": 0}
+
+
+def test_a_start_plan_states_bounds_and_says_what_is_wrong(tmp_path):
+    site = tmp_path / "gw.kdl"
+    members = "; ".join(f'member "gw-{n}" at="127.0.0.1:{9000 + n}" zone="z{n % 3}"' for n in range(60))
+    text = SITE.format(
+        state=tmp_path, workers='list { servers "127.0.0.1:1" }', orders="", more="", listener="",
+        extra=f'fleet one-reader=true one-order=true {{ {members}; budgets "cold" }}',
+    )  # fmt: skip
+    site.write_text(text.replace('name "gw"', 'name "gw-0"'))
+    told = json.loads(CliRunner().invoke(main, ["fleet", "start-plan", str(site), "--json"]).stdout)
+    assert (told["gateways"], told["zones"], told["orders_for_a_copy"]) == (60, 3, 1)
+    assert told["list_most_in_a_second"] == 9 and told["cold_sum"] == 0.5
+    more = json.loads(
+        CliRunner().invoke(main, ["fleet", "start-plan", str(site), "--routers", "1000", "--json"]).stdout
+    )
+    assert more["list_most_in_a_second"] == 9 and more["start_cpu_s"] > 10 * told["start_cpu_s"]
+    shown = CliRunner().invoke(main, ["fleet", "start-plan", str(site)])
+    assert shown.exit_code == 0 and "60 gateways in 3 zone(s)" in shown.stdout
+    site.write_text(text)  # its name is no member's
+    wrong = CliRunner().invoke(main, ["fleet", "start-plan", str(site)])
+    assert wrong.exit_code == 2 and "gw.kdl" in wrong.output and "Traceback" not in wrong.output
