--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test setup lint days
+.PHONY: demo test setup lint days trials
 demo: setup
 	$(BIN)/python -m swiftwell demo
 
@@ -21,5 +21,17 @@
 	$(BIN)/pip -q install --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
+# Gateways that agree, at sizes that CI does not play: about half an hour on eight cores, bounded.
+trials: setup
+	$(BIN)/python -m benchmarks.fleet holders --seeds 14 --changes 110 --together 4
+	$(BIN)/python -m benchmarks.fleet detect --sizes 5 20 60 200
+	$(BIN)/python -m benchmarks.fleet cold --sizes 20 60 200
+	$(BIN)/python -m benchmarks.fleet shares --seeds 3
+	$(BIN)/python -m benchmarks.fleet lists
+	$(BIN)/python -m benchmarks.fleet path
+	$(BIN)/python -m benchmarks.fleet emulated --sizes 60 200 1000
+	$(BIN)/python -m benchmarks.fleet started --sizes 60 200 1000
+	$(BIN)/python -m swiftwell day run fleet-herd --json
+
 days: setup
 	for day in days/*.kdl; do $(BIN)/python -m swiftwell day run $$day || exit 1; done
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,6 +7,7 @@
     python -m benchmarks.fleet cold [--sizes 20 60 200] [--seeds 1]  all start at once; on and off
     python -m benchmarks.fleet path [--turns 5]                        CPU a call with the fleet on and off
     python -m benchmarks.fleet emulated [--sizes 60 200 1000]          detection in virtual time, same nodes
+    python -m benchmarks.fleet started [--sizes 60 200 1000]           a zone's start in virtual time
 
 Each prints one JSON object a play and adds it to docs/figures/fleet-trials.json; `make trials` plays all.
 """
@@ -36,6 +37,7 @@
 from swiftwell.fleet.node import FleetSettings
 from swiftwell.fleet.shares import MILLION, STANDING
 from swiftwell.lab.town import Town
+from swiftwell.lab.zone import Zone
 from swiftwell.proof import days
 from swiftwell.proof.runner import Player
 from swiftwell.proof.together import free_ports
@@ -48,6 +50,7 @@
 kind "estandar" workers={workers} cores=4 speed=1.0 memory-mb=8000
 publishers "console" rate={rate} clients={clients}
 """
+KEYS = ("trial", "gateways", "loss", "seed", "one_reader", "present")  # a row's name among the figures
 CHANGE_S = 1.25  # s between two faults at the holder: a term and what a new holder needs
 
 
@@ -429,13 +432,38 @@
     return out
 
 
+def started(args: argparse.Namespace) -> list[dict[str, Any]]:
+    """All of a zone start at once in virtual time: questions to the list, and when all have it."""
+    out = []
+    for size in args.sizes:
+        for present, loss in ((1.0, 0.0), (1.0, 0.1), (0.1, 0.0)):
+            began = time.monotonic()
+            zone = Zone(size, 1, present=range(0, size, round(1 / present)))
+            zone.loss, start, every = loss, zone.now, None
+            there = [me for me in zone.group if me not in zone.down]
+            while every is None and zone.now - start < 60_000_000:
+                zone.go(0.1)
+                every = (zone.now - start) / 1e6 if all(map(zone.has, there)) else None
+            zone.go(4)
+            row = {
+                "trial": "start, virtual", "gateways": size, "loss": loss, "present": present,
+                "asked": len(zone.asked), "most_in_a_second": zone.worst_second(),
+                "all_have_it_s": round(every, 1) if every else None, "readers": len(zone.readers()),
+                "datagrams_a_s": round(zone.sent / len(there) / ((zone.now - start) / 1e6), 1),
+                "took_s": round(time.monotonic() - began, 1),
+            }  # fmt: skip
+            out.append(row)
+            say(row)
+    return out
+
+
 def say(row: dict[str, Any]) -> None:
     """Print it, and keep it with the figures."""
     print(json.dumps(row), flush=True)
     kept = json.loads(FIGURES.read_text()) if FIGURES.exists() else []
-    name = [row.get(key) for key in ("trial", "gateways", "loss", "seed", "one_reader", "day", "build")]
+    name = [row.get(key) for key in KEYS]
     kept = [one for one in kept if [one.get(key) for key in
-            ("trial", "gateways", "loss", "seed", "one_reader", "day", "build")] != name]  # fmt: skip
+            KEYS] != name]  # fmt: skip
     FIGURES.write_text("[\n" + ",\n".join(json.dumps(one) for one in [*kept, row]) + "\n]\n")
 
 
@@ -444,7 +472,8 @@
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
     parser.add_argument(
-        "trial", choices=("holders", "detect", "shares", "lists", "cold", "path", "peers", "emulated")
+        "trial",
+        choices=("holders", "detect", "shares", "lists", "cold", "path", "peers", "emulated", "started"),
     )
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--changes", type=int, default=100)
@@ -455,8 +484,8 @@
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--plan", default="", help="peers: where they are")
     args = parser.parse_args()
-    if args.trial == "emulated":
-        emulated(args)
+    if args.trial in ("emulated", "started"):
+        globals()[args.trial](args)
     else:
         asyncio.run(globals()[args.trial](args))
 
--- a/swiftwell/starting/follow.py
+++ b/swiftwell/starting/follow.py
@@ -1,5 +1,5 @@
-"""Reads the list of workers for the others of a zone, or follows one that does: joins the list service, the
-zone's board and `lists.Reading` on the loop.  Nothing is decided here.
+"""Reads the list of workers for the others of a zone, or follows one that does: carries `zone.ZoneList` out
+on the loop, with the list service.  Nothing is decided here.
 """
 
 from __future__ import annotations
@@ -12,13 +12,13 @@
 
 from swiftwell import interface as io
 from swiftwell.discovery.sources import ListService
-from swiftwell.fleet.board import Board
 from swiftwell.fleet.link import FleetLink
 from swiftwell.fronts.host import Backoff
 from swiftwell.gateway.clock import Clock
 from swiftwell.http.client import Unreachable
 from swiftwell.settings.document import SettingsError
-from swiftwell.starting.lists import Ask, Reading, Seen
+from swiftwell.starting.lists import Ask
+from swiftwell.starting.zone import What, ZoneList
 
 LOOK_S = 0.05  # s between two looks: a step of the fleet
 
@@ -67,12 +67,6 @@
     return tuple(out)
 
 
-def seen(board: Board) -> Seen:
-    """What a board shows to `Reading`."""
-    beat_at = board.beat_at if board.edition else None
-    return Seen(board.edition, not board.writing, beat_at, board.coming_at, board.heard_at)
-
-
 class Follower:
     """One router's list, from the service or from the zone's board.
 
@@ -90,37 +84,27 @@
         backoff: Backoff,
     ) -> None:
         self._link, self._clock, self._tell, self._log, self._backoff = link, clock, tell, log, backoff
-        self._board = link.node.boards[board]
-        self._lease = link.node.board_lease(board)
-        told, group = link.node.told, (*self._board.others, link.node.told.me)
-        self.reading = Reading(
-            told.me, tuple(sorted(group)), board, rate, told.period_us, link.now_us()
-        )  # fmt: skip
-        self._last: dict[str, bytes] = {}
+        self.zone = ZoneList(link.node, board, rate, link.now_us())
         self._session: asyncio.Task[None] | None = None
-        self._beat_at = 0
         self._rest_until = 0.0
         self.service: ListService | None = None
 
     def told(self, members: io.Members) -> None:
         """The service's list, read by us: for ourselves at once, and for the others."""
         self._tell(members)
-        self._last = rows(members.entries, self._clock.wall_of)
-        self._answered()
-        self._write()
+        if not self.zone.reading.reader:
+            holds = self.zone.lease.holds(self._link.now_us())
+            self._log("info", "list-reader", reading=True, lease=holds)
+        read = rows(members.entries, self._clock.wall_of)
+        self._passing(lambda: self.zone.told(self._link.now_us(), int(self._clock.wall_ms()), read))
+        self._link.stir()
 
-    def _write(self) -> None:
+    def _passing(self, act: Callable[[], What | None]) -> What | None:
         try:
-            self._board.write(self._link.now_us(), int(self._clock.wall_ms()), self._last)
+            return act()
         except ValueError as error:  # then nobody hears a beat, and each reads for itself
             self._log("error", "list-not-passed-on", why=str(error))
-            return
-        self._link.stir()
-
-    def _answered(self) -> None:
-        if not self.reading.reader:
-            self._log("info", "list-reader", reading=True, lease=self._lease.holds(self._link.now_us()))
-        self.reading.answered()
+            return None
 
     async def run(self) -> None:
         """Until cancelled."""
@@ -132,34 +116,24 @@
             self._stop()
 
     def _look(self) -> None:
-        now, board, reading = self._link.now_us(), self._board, self.reading
         service = self.service
         assert service
-        if board.changed:
-            board.changed = False
-            if not board.writing:
-                listed = entries(board.entries(), self._clock.started_us)
-                self._tell(io.Members(io.ListKind.FULL, listed))
-        if not board.writing and board.beat_at > self._beat_at:
-            self._beat_at = board.beat_at
+        running = self._session is not None and not self._session.done()
+        now, wall_ms = self._link.now_us(), int(self._clock.wall_ms())
+        what = self._passing(lambda: self.zone.look(now, wall_ms, running))
+        if what is None:
+            return
+        if what.rows is not None:
+            self._tell(io.Members(io.ListKind.FULL, entries(what.rows, self._clock.started_us)))
+        if what.fresh:
             service.heard_at = time.monotonic()  # for the saved list, and for peers that ask
-        if self._lease.wanted != reading.reader:
-            self._link.node.want(now, self._lease.name, reading.reader)
-        holds = self._lease.holds(now)
-        was = reading.reader
-        what = reading.look(now, holds, seen(board))
-        if was and not reading.reader:
-            self._log("info", "list-reader", reading=False, lease=holds)
+        if what.gave_way:
+            self._log("info", "list-reader", reading=False, lease=False)
+        if what.stop:
             self._stop()
-        running = self._session is not None and not self._session.done()
-        if not running and what is not Ask.NOT and time.monotonic() >= self._rest_until:
-            reading.asked(now)
-            self._session = asyncio.ensure_future(self._read(service, what))
-        elif running and reading.reader:
-            if not board.writing and board.edition and (holds or what is not Ask.NOT):
-                self._write()
-            elif now - board.beat_at >= board.period_us:
-                board.beats(now)
+        if what.ask is not Ask.NOT and time.monotonic() >= self._rest_until:
+            self.zone.reading.asked(now)
+            self._session = asyncio.ensure_future(self._read(service, what.ask))
 
     async def _read(self, service: ListService, what: Ask) -> None:
         began = time.monotonic()
@@ -168,11 +142,11 @@
             await service.session()
         except (Unreachable, SettingsError) as error:
             wait = 0.0
-            if what is Ask.ALONE or self.reading.reader:
+            if what is Ask.ALONE or self.zone.reading.reader:
                 self._backoff.ended(time.monotonic() - began)
                 wait = self._backoff.wait_s()
                 self._rest_until = time.monotonic() + wait
-            self.reading.lost()
+            self.zone.reading.lost()
             service.lost(error, wait)
 
     def _stop(self) -> None:
--- /dev/null
+++ b/swiftwell/starting/zone.py
@@ -0,0 +1,67 @@
+"""One router's list of a zone: its board, the board's lease and its turns at the service, joined.  No I/O.
+
+`follow` carries it out on sockets, lab/zone in virtual time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from swiftwell.fleet.node import FleetNode
+from swiftwell.starting.lists import Ask, Reading, Seen
+
+
+@dataclass(frozen=True, slots=True)
+class What:
+    """What is to be done now."""
+
+    rows: dict[str, bytes] | None = None  # a list of another's that is new here
+    fresh: bool = False  # its reader has given a sign of life
+    ask: Ask = Ask.NOT  # begin a session at the service
+    stop: bool = False  # end ours
+    gave_way: bool = False  # to another reader
+
+
+class ZoneList:
+    """`board` names the board; `rate`: questions a second of all who share it, while nobody reads."""
+
+    def __init__(self, node: FleetNode, board: str, rate: float, now: int) -> None:
+        self.node, self.board, self.lease = node, node.boards[board], node.board_lease(board)
+        group = tuple(sorted((*self.board.others, node.told.me)))
+        self.reading = Reading(node.told.me, group, board, rate, node.told.period_us, now)
+        self.rows: dict[str, bytes] = {}  # read by us, last
+        self._beat_at = 0
+
+    def look(self, now: int, wall_ms: int, running: bool) -> What:
+        """Now and then; `running`: a session of ours at the service goes on."""
+        board, reading = self.board, self.reading
+        rows = None
+        if board.changed:
+            board.changed = False
+            rows = None if board.writing else board.entries()
+        fresh = not board.writing and board.beat_at > self._beat_at
+        if fresh:
+            self._beat_at = board.beat_at
+        if self.lease.wanted != reading.reader:
+            self.node.want(now, self.lease.name, reading.reader)
+        was, holds = reading.reader, self.lease.holds(now)
+        beat_at = board.beat_at if board.edition else None
+        seen = Seen(board.edition, not board.writing, beat_at, board.coming_at, board.heard_at)
+        ask = reading.look(now, holds, seen)
+        gave_way = was and not reading.reader
+        if running and not gave_way and reading.reader:
+            if not board.writing:
+                self.write(now, wall_ms)  # another edition came between: ours goes above it
+            elif now - board.beat_at >= board.period_us:
+                board.beats(now)
+        return What(rows, fresh, Ask.NOT if running else ask, gave_way, gave_way)
+
+    def told(self, now: int, wall_ms: int, rows: dict[str, bytes]) -> None:
+        """The service has answered us; raises ValueError where the list can't be passed on."""
+        self.rows = rows
+        self.reading.answered()
+        self.write(now, wall_ms)
+
+    def write(self, now: int, wall_ms: int) -> None:
+        """Put up what we read last; raises ValueError."""
+        self.board.write(now, wall_ms, self.rows)
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -11,80 +11,14 @@
 from swiftwell.cli.main import main
 from swiftwell.fleet import words
 from swiftwell.fleet.board import MOST_ENTRY, MOST_GONE, Board
-from swiftwell.lab.town import Town
+from swiftwell.lab.zone import Zone
 from swiftwell.starting.copies import ASKED_US, MOST_FUNCTIONS, TRIES, Copies, Do, ranked
-from swiftwell.starting.follow import seen
 from swiftwell.starting.lists import Ask, Reading, Seen, places
 from swiftwell.starting.part import RISE_US, Part
 
 SECOND = 1_000_000
 
 
-class Zone(Town):
-    """Nodes of one zone, each with a `Reading`; the list service is a dictionary that is up or not."""
-
-    def __init__(self, size, seed=1, rate=3.0, present=None):
-        group = tuple(range(size))
-        super().__init__(size, seed, boards=(("list", group),), period_us=500_000)
-        self.rate, self.group = rate, group
-        self.rows = {f"127.0.0.1:{40_000 + n}": b"row %d" % n + b"x" * 24 for n in range(50)}
-        self.up, self.asked, self.held = True, [], set(group)  # `held`: who reaches the service
-        self.down = set(group) - set(present if present is not None else group)
-        self.readings = [self._reading(me) for me in group]
-        self.wall = 1_000
-
-    def _reading(self, me):
-        return Reading(me, self.group, "list", self.rate, 500_000, self.now)
-
-    def again(self, me):
-        self.wall += 1
-        self.restart(me, self.wall)
-        self.readings[me] = self._reading(me)
-
-    def look(self, stopped=()):
-        """What starting/follow.py does, with a service that answers at once."""
-        for me in self.group:
-            if me in self.down or me in stopped:
-                continue
-            node, reading = self.nodes[me], self.readings[me]
-            board, lease = node.boards["list"], node.board_lease("list")
-            holds = lease.holds(self.now)
-            if lease.wanted != reading.reader:
-                node.want(self.now, lease.name, reading.reader)
-            was = reading.reader
-            what = reading.look(self.now, holds, seen(board))
-            if was and not (self.up and me in self.held):
-                reading.lost()
-            elif what is not Ask.NOT and not was:
-                self.asked.append((self.now, me, what))
-                reading.asked(self.now)
-                if self.up and me in self.held:
-                    reading.answered()
-                    board.write(self.now, self.now // 1_000, self.rows)
-                else:
-                    reading.lost()
-            elif reading.reader:
-                if not board.writing and (holds or what is not Ask.NOT):
-                    board.write(self.now, self.now // 1_000, self.rows)
-                elif board.writing:
-                    board.write(self.now, self.now // 1_000, self.rows)
-                    if self.now - board.beat_at >= board.period_us:
-                        board.beats(self.now)
-
-    def go(self, seconds, each=lambda: None, stopped=()):
-        self.run(seconds, lambda: (self.look(stopped), each()), stopped)
-
-    def has(self, me):
-        return self.nodes[me].boards["list"].entries() == self.rows
-
-    def readers(self):
-        return [me for me in self.group if me not in self.down and self.readings[me].reader]
-
-    def worst_second(self):
-        times = [at for at, _, what in self.asked if what is not Ask.ALONE]
-        return max((sum(0 <= b - a < SECOND for b in times) for a in times), default=0)
-
-
 @pytest.mark.parametrize("size, loss", [(5, 0.0), (60, 0.0), (30, 0.3)])
 def test_all_start_at_once_and_few_ask_for_the_list(size, loss):
     zone = Zone(size)
