Gateways keep to their part of a worker's connections; the link's own bound is no failed connection

Cause: workers/link ended an attempt at its own bound of connections as CONNECT_FAILED, by which the module forgets the worker's copies, rests it and takes it for a starting one; found when the bound was made small. It is FULL now, never ran. With budgets "connections" and worker-connections the fleet divides what a worker holds from all.

--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -30,7 +30,7 @@
 from swiftwell.fleet.drill import Drill
 from swiftwell.fleet.link import FleetLink, key_of
 from swiftwell.fleet.node import FleetSettings
-from swiftwell.fleet.shares import Share
+from swiftwell.fleet.shares import MILLION, Share
 from swiftwell.fronts.host import Backoff
 from swiftwell.fronts.mqtt.codec import V5, V311, Connect, Reason
 from swiftwell.fronts.mqtt.contract import Contract
@@ -88,6 +88,8 @@
             w.connections, w.connect_ms / 1e3, w.answer_bytes, order_s=w.order_timeout_ms / 1e3
         )
         self.link = Link(site.name, bounds, self._from_workers, self.log, self.clock.started_us)
+        if w.worker_connections and site.fleet:  # no loan yet
+            self.link.allow(w.worker_connections * Share("", len(site.fleet.member)).own // MILLION)
         self.keeper: Keeper | None = None
         self._service: sources.ListService | None = None
         self._lock = -1
@@ -374,6 +376,8 @@
             self._tasks.append(asyncio.ensure_future(self._look_at_orders()))
         if "cold" in fleet.budgets:
             self._tasks.append(asyncio.ensure_future(self._act_by_part()))
+        if "connections" in fleet.budgets:
+            self._tasks.append(asyncio.ensure_future(self._connect_by_part()))
         drills = [
             Drill(link, one.lease, self.site.name, host_port(one.resource), one.act_ms / 1e3, self.log).run()
             for one in fleet.drill
@@ -401,6 +405,19 @@
                 self.log("debug", "fleet-part", routers=divide, at_us=self.clock.now_us(), until_us=ends)
             await asyncio.sleep(LOOK_S)
 
+    async def _connect_by_part(self) -> None:
+        """Keep to our part of the connections that a worker holds from all gateways.
+
+        Rises and falls at once, half a step late at most; a process that stands still keeps what is open.
+        """
+        assert self.fleet
+        share = self.fleet.node.shares["connections"]
+        while True:
+            now = self.fleet.now_us()
+            parts = min(share.parts(now), share.parts(now + int(2e6 * LOOK_S)))
+            self.link.allow(self.site.workers.worker_connections * parts // MILLION)
+            await asyncio.sleep(LOOK_S)
+
     def _admit(self, packet: Connect) -> Reason | None:
         users = self.site.listener.user if self.site.listener else ()
         if not users:
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -112,6 +112,10 @@
     fall_multiple: float = setting(1.0, low=0.001, high=1e3, doc="times that part at which it falls over")
     fall_ms: int = setting(0, low=0, high=_DAY_MS, doc="ms of such load after which it falls over")
     connections: int = setting(64, low=1, high=4096, doc="connections to one worker at most")
+    worker_connections: int = setting(
+        0, low=0, high=1_000_000,
+        doc="connections to one worker from all gateways together: the fleet's budget `connections`; 0 none",
+    )  # fmt: skip
     connect_ms: int = setting(250, low=1, high=60_000, doc="ms until a connection counts as failed")
     answer_bytes: int = setting(1 << 20, low=1, high=1 << 28, doc="bytes of an answer at most")
 
@@ -446,6 +450,8 @@
         )
     if site.fleet:
         _fleet(reader, site)
+    elif site.workers.worker_connections:
+        reader.wrong(line, "worker-connections wants a fleet with the budget `connections`")
     if site.position >= site.gateways:
         reader.wrong(1, f"position {site.position} wants to be below gateways, {site.gateways}")
 
@@ -469,6 +475,14 @@
     if fleet.one_order and site.workers.load_window_ms:
         text = "fleet: one-order wants no load-window-ms: orders that are held back count before they go"
         reader.wrong(line, text)
+    told = site.workers.worker_connections
+    if bool(told) != ("connections" in fleet.budgets):
+        reader.wrong(line, "fleet: budget connections and worker-connections in workers want each other")
+    elif told and told < 2 * len(names):
+        text = (
+            f"workers: worker-connections wants twice the members, {2 * len(names)}: half of it is never lent"
+        )
+        reader.wrong(reader.line(site.workers), text)
     if fleet.one_reader and not site.workers.list:
         reader.wrong(line, "fleet: one-reader wants a `list` in workers, which it reads for the others")
 
--- a/swiftwell/workers/link.py
+++ b/swiftwell/workers/link.py
@@ -133,6 +133,7 @@
     ) -> None:
         self._gateway, self._bounds, self._put, self.log = gateway, bounds, put, log
         self._started = started  # a worker's start in wall-clock ms as monotonic us
+        self.most = bounds.connections  # to one worker now; see `allow`
         self._workers: dict[str, _Worker] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
         self.others: dict[_Job, tuple[str, int]] = {}  # orders and questions: kind, number
@@ -294,9 +295,10 @@
             if not connection.stream.closed():
                 self._write(job, connection)
                 return
-        if worker.open >= self._bounds.connections:
-            # Told on a later turn: the engine is in the middle of its outputs.
-            self._loop.add_callback(self.end, job, _End(None, Status.CONNECT_FAILED, Ran.NEVER))
+        if worker.open >= self.most:
+            # Told on a later turn: the engine is in the middle of its outputs.  Full, as the bound is ours:
+            # after a failed connection the module forgets the copies there and takes it for a starting one.
+            self._loop.add_callback(self.end, job, _End(None, Status.FULL, Ran.NEVER))
             return
         worker.open += 1
         task = asyncio.ensure_future(self._connect(job, worker))
@@ -353,11 +355,18 @@
         """A connection is free again."""
         worker = self._workers.setdefault(connection.worker, _Worker())
         connection.job, connection.since = None, time.monotonic()
-        if len(worker.idle) < self._bounds.idle:
+        if len(worker.idle) < self._bounds.idle and worker.open <= self.most:
             worker.idle.append(connection)
         else:
             connection.stream.close()
 
+    def allow(self, most: int) -> None:
+        """So many connections to one worker from now on, one at least; unused ones beyond it are closed."""
+        self.most = max(1, min(most, self._bounds.connections))
+        for worker in self._workers.values():
+            for _ in range(min(worker.open - self.most, len(worker.idle))):
+                worker.idle.pop().stream.close()
+
     def closed(self, connection: _Connection, status: Status, too_large: bool) -> None:
         """A connection has ended; so has the job on it."""
         connection.stream.close()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -175,3 +175,26 @@
         (9, "no queue"),
     ):
         assert any(one.startswith(f"s.kdl:{line}:") and words in one for one in found), (line, words, found)
+
+
+def test_a_fleet_is_checked_with_what_it_divides():
+    """What could not be kept is refused: parts below one connection, held orders that are rationed."""
+
+    def text(fleet, workers="", place='list { servers "127.0.0.1:1" }'):
+        members = "; ".join(f'member "gw-{n}" at="127.0.0.1:{9000 + n}"' for n in range(4))
+        return (
+            'name "gw-0"\nclass "a" wanted-ms=10 deadline-ms=50\nmqtt-listener\n'
+            f"workers {{ {place}; {workers} }}\nfleet {fleet[0]} {{ {members}; {fleet[1]} }}\n"
+        )
+
+    both = ("one-reader=true", 'budgets "cold" "connections"')
+    good = site.read(text(both, "worker-connections 8"), "s.kdl")
+    assert good.fleet.one_reader and good.workers.worker_connections == 8
+    few = problems(text(("", 'budgets "connections"'), "worker-connections 7"))
+    assert few[0].startswith("s.kdl:4: workers")
+    assert "want each other" in problems(text(("", 'budgets "connections"')))[0]
+    assert "want each other" in problems(text(("", ""), "worker-connections 8"))[0]
+    assert "load-window-ms" in problems(text(("one-order=true", ""), "load-window-ms 1000"))[0]
+    assert "one-reader" in problems(text(("one-reader=true", ""), place='worker "127.0.0.1:9"'))[0]
+    alone = text(("", ""), "worker-connections 8").split("fleet")[0]
+    assert "s.kdl:4: worker-connections wants a fleet" in problems(alone)[0]
