--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -320,7 +320,8 @@
                     size=size, on=on, workers=workers, dying=workers // 2, rate=max(40, size),
                     clients=2 * size,
                     budgets='budgets "cold" "connections"' if on == "true" else "",
-                    more=f"worker-connections {max(64, 3 * size)}" if on == "true" else "", seconds=50 + size // 10,
+                    more=f"worker-connections {max(64, 3 * size)}" if on == "true" else "",
+                    seconds=50 + size // 10,
                 )  # fmt: skip
                 told = await play("cold", days.read(text, "cold.kdl"), seed)
                 row = {"trial": "cold", "gateways": size, "seed": seed, "one_reader": on == "true"}
