--- a/swiftwell/cli/fleet.py
+++ b/swiftwell/cli/fleet.py
@@ -53,6 +53,11 @@
         f"own health {told['health']} (0 is well)",
         f"holds: {', '.join(held) or 'nothing'}",
         *(f"share of {name}: {parts / 1e4:.2f} %" for name, parts in told["shares"].items()),
+        *(
+            f"{name}: read by {one['writer'] or 'nobody yet'}, {one['entries']} entries, "
+            f"last sign of life {one['silent_ms'] / 1e3:.1f} s ago"
+            for name, one in told["boards"].items()
+        ),
     ])  # fmt: skip
 
 
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -431,6 +431,9 @@
         if request.target == "/healthz":
             up = "up" if not self._stopping else "stopping"
             return Response(200 if not self._stopping else 503, {}, f"{up}\n".encode())
+        if request.target == "/readyz":  # a balancer of clients sends nobody to one that can serve nobody
+            ready = not self._stopping and any(one.ready for one in self.engine.router.workers.values())
+            return Response(200 if ready else 503, {}, b"ready\n" if ready else b"no worker is known\n")
         if request.target == "/fleet":
             told = self.fleet.node.status(self.fleet.now_us()) if self.fleet else None
             return Response(200, {"content-type": "application/json"}, msgspec.json.encode(told) + b"\n")
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -24,6 +24,8 @@
     Will,
     encode,
 )
+from swiftwell.http.client import Client as HttpClient
+from swiftwell.http.http1 import Request as HttpRequest
 from swiftwell.proof.trace import Trace
 from swiftwell.standins.broker import Broker
 
@@ -450,3 +452,28 @@
             assert gw.engine.counts["calls"] == 1 and len(console.answers[corr]) == 1
 
     run(main())
+
+
+def test_ready_is_told_only_while_a_worker_is_known(tmp_path):
+    """A balancer of clients that asked /healthz sent them to a gateway that could serve nobody yet."""
+
+    async def main():
+        file = f'file "{tmp_path / "list.kdl"}"'
+        async with gateway(tmp_path, workers=file, extra="health port=0") as gw:
+            client = HttpClient("127.0.0.1", gw.health_port)
+
+            async def status(page):
+                return (await client.ask(HttpRequest("GET", page), 2.0)).status
+
+            assert (await status("/healthz"), await status("/readyz")) == (200, 503)
+            (tmp_path / "list.kdl").write_text('worker "127.0.0.1:9" kind="k"\n')
+            async with asyncio.timeout(10):
+                while await status("/readyz") != 200:
+                    await asyncio.sleep(0.05)
+            (tmp_path / "list.kdl").write_text('worker "127.0.0.1:9" kind="k" state="draining"\n')
+            async with asyncio.timeout(10):
+                while await status("/readyz") != 503:
+                    await asyncio.sleep(0.05)
+            client.close()
+
+    run(main())
