What tells the loss of a site, its return in slices, what is refused first: decisions, tested alone

sites/judge: seven states and the moves between them; a loss needs our own outcomes and no contrary word of others, most sites bad at once with silent members is a cut of ours. sites/back: slices shown by a conductor under a lease, taken back at the first sign of falling over. sites/admit: the order of sacrifice ahead of the module, the same draw at every router. Not joined with a gateway yet (ROADMAP).

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -103,7 +103,7 @@
             out.append(row)
             say(row)
 
-    await asyncio.gather(*(one(seed) for seed in range(1, args.seeds + 1)))
+    await asyncio.gather(*(one(seed) for seed in range(args.first, args.first + args.seeds)))
     total = {
         key: sum(row["fleet"][key] for row in out)
         for key in ("acts", "changes", "overlaps", "older", "turned_away")
@@ -478,6 +478,7 @@
         choices=("holders", "detect", "shares", "lists", "cold", "path", "peers", "emulated", "started"),
     )
     parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--first", type=int, default=1, help="holders: the first seed")
     parser.add_argument("--changes", type=int, default=100)
     parser.add_argument("--together", type=int, default=3, help="plays at a time")
     parser.add_argument("--gateways", type=int, default=60)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -12,6 +12,20 @@
 from swiftwell.cli.main import main
 from swiftwell.settings import sites as document
 from swiftwell.settings.document import SettingsError
+from swiftwell.sites.admit import LEAST, STEP_US, Admission, Rank
+from swiftwell.sites.back import (
+    FRESH_US,
+    HOLD_US,
+    SETTLE_US,
+    SLICES,
+    Conductor,
+    Follower,
+    Order,
+    Seen,
+    Word,
+    shown,
+)
+from swiftwell.sites.judge import DOUBT_US, FLAP_US, GOOD_US, MOVES, WINDOW_US, Judge, Look, State
 from swiftwell.sites.plan import (
     HEADROOM,
     Demand,
@@ -133,3 +147,214 @@
     with pytest.raises(SettingsError, match="can't be read"):
         document.load(tmp_path / "none.kdl")
     assert differences([], plans(three(), 0)) == ["nothing lost: new"]
+
+
+# --- knowing it -----------------------------------------------------------------------------------------
+
+GOOD, LATE = (Look(heard=2, members=2, **{how: 10}) for how in ("good", "slow"))
+BAD = Look(bad=10, members=2)
+ANY = st.sampled_from([GOOD, BAD, LATE, Look()])
+SECOND = 1_000_000
+
+
+class View:
+    """One router's judge, fed a window at a time."""
+
+    def __init__(self, sites="abc", home="a"):
+        self.judge, self.now, self.changes = Judge(tuple(sites), home, 0), 0, []
+
+    def go(self, seconds, **seen):
+        for _ in range(round(seconds * SECOND / WINDOW_US)):
+            self.now += WINDOW_US
+            looks = dict.fromkeys(self.judge.sites, GOOD) | seen
+            self.changes += self.judge.look(self.now, looks)
+        return self
+
+    def states(self):
+        return [self.judge.state(name) for name in self.judge.sites]
+
+
+def test_a_site_that_vanishes_is_lost_within_two_seconds_and_returns_only_after_it_serves_again():
+    view = View().go(2).go(2, b=BAD)
+    assert view.states() == [State.UP, State.LOST, State.UP]
+    assert [one.now for one in view.changes] == [State.DOUBT, State.LOST]
+    assert "bad 10" in view.changes[-1].why and "members heard 0/2" in view.changes[-1].why
+    view.go(1.5)
+    assert view.judge.state("b") is State.LOST
+    view.go(1.5)
+    assert view.judge.state("b") is State.RETURNING
+    assert view.judge.returned(view.now, "b").now is State.UP and view.judge.returned(view.now, "b") is None
+
+
+def test_a_hiccup_few_calls_and_one_bad_worker_lose_no_site():
+    view = View().go(1).go(0.5, b=BAD).go(1)
+    assert view.states() == [State.UP] * 3
+    view.go(20, b=Look(good=7, bad=3, heard=2, members=2), c=Look(bad=2, members=2))
+    assert view.states() == [State.UP] * 3  # three in ten fail; two calls say nothing
+
+
+def test_others_that_are_served_there_stop_a_judgement_and_old_words_do_not():
+    view = View()
+    for _ in range(12):
+        for member in (4, 5, 6):
+            view.judge.heard(view.now, member, "b", True)
+        view.judge.heard(view.now, 7, "b", False)
+        view.go(0.5, b=BAD)
+    assert view.judge.state("b") is State.DOUBT  # our way to it, not the site
+    view.go(4, b=BAD)
+    assert view.judge.state("b") is State.LOST
+
+
+def test_a_router_that_is_cut_off_does_not_think_that_the_world_died():
+    view = View("abcd").go(1).go(6, b=BAD, c=BAD, d=BAD)
+    assert view.states() == [State.UP, State.APART, State.APART, State.APART]
+    view.go(4)
+    assert view.states() == [State.UP] * 4
+    # Workers of two sites died, but their members speak to us: no cut.
+    dead = Look(bad=10, heard=2, members=2)
+    view.go(3, b=dead, c=dead, d=dead)
+    assert view.states() == [State.UP, State.LOST, State.LOST, State.LOST]
+
+
+def test_a_site_that_answers_too_late_is_slow_and_one_that_flaps_is_trusted_less():
+    view = View().go(3, b=LATE)
+    assert view.judge.state("b") is State.SLOW
+    view.go(3)
+    assert view.judge.state("b") is State.UP
+    for _ in range(4):
+        view.go(2, b=BAD).go(3)
+        assert view.judge.state("b") is State.RETURNING
+        view.judge.returned(view.now, "b")
+    assert view.judge.flaps(view.now, "b") == 3
+    assert view.judge.flaps(view.now + FLAP_US, "b") == 0
+
+
+def test_an_operator_takes_a_site_out_and_back():
+    view = View()
+    assert view.judge.drain(0, "b", "ops").why == "by ops" and view.judge.drain(0, "b", "ops") is None
+    view.go(5, b=Look())
+    assert view.judge.state("b") is State.DRAINED
+    assert view.judge.release(view.now, "b", "ops").now is State.RETURNING
+    assert view.judge.release(view.now, "b", "ops") is None
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(ANY, ANY, st.booleans()), max_size=120))
+def test_only_the_moves_of_the_table_happen_and_a_lost_site_never_stays_so_while_it_serves(windows):
+    view = View()
+    for b, c, said in windows:
+        view.judge.heard(view.now, 5, "b", said)
+        view.go(WINDOW_US / SECOND, b=b, c=c)
+    for one in view.changes:
+        assert one.now in MOVES[one.was] and one.why
+    view.go((GOOD_US + DOUBT_US) / SECOND + 2)
+    assert all(state in (State.UP, State.RETURNING) for state in view.states())
+
+
+# --- the return -----------------------------------------------------------------------------------------
+
+WARM = Seen(calls=20, served=20)
+
+
+def test_slices_come_one_by_one_when_the_last_one_serves_and_the_whole_takes_its_time():
+    one, now, words = Conductor(0, None, 7), 0, []
+    while not one.done(now) and now < 60 * SECOND:
+        now += SECOND // 2
+        if why := one.look(now, WARM):
+            words.append((now, one.slice, why))
+    assert [slice_ for _, slice_, _ in words] == [1, 2, 3, 4, 5]
+    gaps = [b[0] - a[0] for a, b in itertools.pairwise(words)]
+    assert all(gap >= SETTLE_US for gap in gaps) and one.done(now)
+    assert one.word(5) == Word(5, 5, 7)
+    workers = [f"w{n:02}" for n in range(16)]
+    sizes = [len(shown(workers, n)) for n in range(6)]
+    assert sizes == [0, 2, 4, 8, 12, 16] and set(shown(workers, 2)) <= set(shown(workers, 3))
+    assert all(b <= 2 * a for a, b in itertools.pairwise(sizes[1:]))
+
+
+@pytest.mark.parametrize(
+    "bad", [Seen(20, 10), Seen(20, 20, fell=1)], ids=["fails", "a worker fell"]
+)
+def test_at_the_first_sign_of_falling_over_a_slice_is_taken_back_and_waits(bad):
+    one, now = Conductor(0, None, 1), 0
+    while one.slice < 3:
+        now += SECOND // 2
+        one.look(now, WARM)
+    before = one.settle_us()
+    assert "slice 2" in one.look(now + 1, bad) and one.settle_us() == 2 * before
+    for _ in range(int(HOLD_US / SECOND) - 1):
+        now += SECOND
+        assert not one.look(now, WARM)
+    quiet = Conductor(now, one.word(0), 2)
+    for _ in range(100):
+        now += SECOND
+        assert not quiet.look(now, Seen(0, 0))  # a slice that serves nobody tells nothing
+    slow = Conductor(now, one.word(0), 2)
+    for _ in range(100):
+        now += SECOND
+        assert not slow.look(now, Seen(20, 20, times_usual=3.0))
+
+
+def test_an_heir_goes_on_from_where_things_stand_and_operators_hold_hurry_and_call_off():
+    heir = Conductor(100, Word(3, 0, 4, "none", 1), 9)
+    assert heir.slice == 3 and heir.settle_us() == 2 * SETTLE_US
+    assert not heir.look(101, WARM)  # the whole time again
+    heir.told(Order.HURRY)
+    assert heir.settle_us() == SETTLE_US
+    heir.told(Order.HOLD)
+    assert not heir.look(100 * SECOND, WARM)
+    assert Conductor(0, heir.word(0), 10).order is Order.HOLD
+    heir.told(Order.OFF)
+    assert "called off" in heir.look(101 * SECOND, WARM) and heir.slice == 0
+    assert not heir.look(102 * SECOND, WARM)
+
+
+def test_a_router_follows_fresh_words_of_the_newest_conductor_one_slice_at_a_time():
+    one = Follower()
+    assert one.look(None, 0) == 0 and one.look(Word(4, 0, 5), None) == 0
+    assert [one.look(Word(4, 0, 5), 0) for _ in range(5)] == [1, 2, 3, 4, 4]
+    assert one.look(Word(5, 0, 5), FRESH_US + 1) == 4  # an old word lets nobody go on
+    assert one.look(Word(2, 0, 5), 0) == 2  # back at once
+    assert one.look(Word(5, 0, 3), 0) == 2  # of an older conductor
+    assert one.look(Word(len(SLICES), 0, 6), 0) == 3
+
+
+# --- what is refused ------------------------------------------------------------------------------------
+
+ORDER = (Rank("low", "", 0.5, 0.4), Rank("mid", "", 0.3, 1.0), Rank("high", "", 0.2, 1.0))
+
+
+def test_the_order_is_cut_from_its_first_on_and_all_routers_refuse_the_same_calls():
+    one, other = Admission(ORDER), Admission(ORDER)
+    assert one.admits("low", "", "k1")
+    one.begin(0)
+    other.begin(0)
+    assert one.part("low", "") == pytest.approx(0.4) and one.part("mid", "") == 1.0 == one.part("new", "")
+    keys = [f"call-{n}" for n in range(4_000)]
+    taken = [key for key in keys if one.admits("low", "", key)]
+    assert taken == [key for key in keys if other.admits("low", "", key)]
+    assert 0.37 < len(taken) / len(keys) < 0.43
+    waits = [one.wait_ms(key) for key in keys]
+    assert min(waits) >= 2_000 and max(waits) < 4_000 and len(set(waits)) > 1_000
+    one.end()
+    assert all(one.admits("low", "", key) for key in keys)
+
+
+def test_it_is_cut_deeper_while_kept_calls_are_late_and_given_back_slowly_to_the_plan():
+    one, now, parts = Admission(ORDER), 0, []
+    one.begin(now)
+    for late in (True, True, True, False, False):
+        for _ in range(LEAST):
+            one.ended(not late)
+        now += STEP_US
+        assert one.look(now)
+        parts.append([round(one.part(rank.band, ""), 2) for rank in ORDER])
+    assert parts[0] == [0.1, 1.0, 1.0] and parts[1] == [0.0, 0.67, 1.0] and parts[2] == [0.0, 0.17, 1.0]
+    assert parts[3] == [0.0, 0.27, 1.0]
+    assert all(a <= b <= c for a, b, c in parts)  # no inversion at any step
+    for _ in range(60):
+        for _ in range(LEAST):
+            one.ended(True)
+        now += STEP_US
+        one.look(now)
+    assert one.cut == one.plan_cut
