--- a/swiftwell/fleet/node.py
+++ b/swiftwell/fleet/node.py
@@ -65,6 +65,7 @@
         self.lenders: dict[str, Lender] = {}
         self.counts: Counter[str] = Counter()
         self.holders: dict[str, int] = {}  # lease of a budget: who lends, by what we were told last
+        self.listeners: list[Callable[[int], None]] = []  # told of each member that spoke to us
         self.users: dict[str, Callable[[int, int, bytes], None]] = {}  # name: takes now, sender, body
         self._now = now
         self._rates: dict[int, list[float]] = {}
@@ -151,6 +152,8 @@
         for board in self.boards.values():
             if sender in board.others:
                 board.heard_at = now
+        for listener in self.listeners:
+            listener(sender)
         if got.life < self.members.table[sender].life:
             # Of a run that has ended: nothing it says holds any more.  Or its wall clock was set back: then
             # it has to hear of its earlier life, to begin one above it; else nobody would ever listen to it.
--- a/swiftwell/fronts/trigger.py
+++ b/swiftwell/fronts/trigger.py
@@ -81,6 +81,7 @@
 NOT_RUN = "not-run"
 LEDGER = "ledger-unavailable"
 TOO_MANY = "too-many-calls"
+SHED = "site-lost"  # a site is away, and the plan refuses this class first
 TOO_LARGE = "answer-too-large"
 WORKER_ERROR = "worker-error"
 STOPPING = "gateway-stopping"
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 import xxhash
 
@@ -89,6 +90,22 @@
         return any(attempt.out for attempt in self.attempts)
 
 
+class Observer(Protocol):
+    """Who looks on at calls, and may turn triggers away ahead of the module (sites/watch)."""
+
+    def admits(self, trigger: Trigger) -> int:
+        """0 to take it, else for how many us its publisher is sent away."""
+        ...
+
+    def attempt(self, worker: str, band: str, status: Status, latency_us: int) -> None:
+        """How an attempt ended."""
+        ...
+
+    def answered(self, band: str, tenant: str, in_time: bool) -> None:
+        """A call that was taken has its answer."""
+        ...
+
+
 class Engine:
     """One gateway's calls.  `told` goes to the module as it is; the rest is the engine's.
 
@@ -108,6 +125,9 @@
         make: Callable[[io.Settings, int], Router] = Router,
     ) -> None:
         self._told, self._seed, self._make = told, seed, make
+        self.observer: Observer | None = None
+        self._shed_us = 0  # how long the trigger at hand is sent away for
+        self._hidden: dict[str, frozenset[str]] = {}  # see `hide`
         self._part_until = self._part_then = 0  # until when, and what then: see `divide_by`
         self._margin, self._max_open = margin_us, max_open
         self._bands = {band.name: band for band in told.classes}
@@ -212,7 +232,8 @@
             case ports.Copy():
                 self._events.append(io.Loaded(given.worker, given.function, Status.OK, 0, given.copies))
             case ports.Listed():
-                self._events.append(self._same(self.list.listed(self._now, given.members)))
+                told = self.list.listed(self._now, given.members)
+                self._events.append(self._same(self._unhidden(told)))
                 self._confirm(given.members)
                 self._roster()
             case ports.Saved():
@@ -238,6 +259,9 @@
         if band is None:
             return self._refuse(trigger, tr.UNKNOWN_CLASS)
         barred = trigger.turned or (tr.NO_TIME if left <= 0 else tr.STOPPING if self._stopping else "")
+        self._shed_us = 0
+        if not barred and self.observer and (wait_us := self.observer.admits(trigger)):
+            barred, self._shed_us = tr.SHED, wait_us
         self._numbers += 1
         call = Call(f"c{self._numbers}", trigger, band, self._now + left, False)
         intent = None
@@ -383,6 +407,8 @@
         self._wheel.cancel(attempt.timer)
         attempt.out, attempt.ran = False, end.ran
         self._at_work -= 1
+        if self.observer:
+            self.observer.attempt(attempt.worker, call.band.name, end.status, end.latency_us)
         if (end.ran is Ran.NEVER) != (end.status in io.NEVER_RAN):
             raise AssertionError(f"{end.status!r} does not agree with {end.ran!r}")
         self._word(attempt.worker, end)
@@ -463,7 +489,34 @@
         if told:
             for entry in told.entries[:5]:
                 self._log("info", "worker", worker=entry.worker, state=entry.state.name.lower())
-            self._events.append(self._same(told))
+            self._events.append(self._same(self._unhidden(told)))
+
+    def hide(self, sites: dict[str, frozenset[str]]) -> None:
+        """Of these sites the module takes all ready workers for draining but those that are named."""
+        was, self._hidden = self._hidden, sites
+        entries = tuple(
+            known.entry
+            for known in self.list.known.values()
+            if self._is_hidden(known.entry, was) is not self._is_hidden(known.entry, sites)
+        )
+        if entries:
+            self._events.append(self._same(self._unhidden(io.Members(io.ListKind.DELTA, entries))))
+
+    @staticmethod
+    def _is_hidden(entry: io.WorkerEntry, sites: dict[str, frozenset[str]]) -> bool:
+        return entry.worker not in sites.get(entry.zone, (entry.worker,))
+
+    def _unhidden(self, members: io.Members) -> io.Members:
+        """Ready workers of a site that is not shown stand as draining: what runs there ends, nothing new."""
+        if not self._hidden or members.how is io.ListKind.FAILED:
+            return members
+        entries = tuple(
+            replace(entry, state=io.State.DRAINING)
+            if entry.state is io.State.READY and self._is_hidden(entry, self._hidden)
+            else entry
+            for entry in members.entries
+        )
+        return members._replace(entries=entries)
 
     def _roster(self) -> None:
         """Ask the workers that the roster wants asked, and come back when it wants more."""
@@ -708,6 +761,10 @@
     def _settle(self, call: Call, answer: Answer, waiters: list[Waiter] | None = None) -> None:
         """The one final answer of a call, to all that wait for it, and into the ledger."""
         call.settled = True
+        if self.observer:
+            spent = self._now - (call.deadline_us - call.trigger.left_us + self._margin)
+            in_time = answer.kind is Kind.SERVED and spent <= call.band.target_us
+            self.observer.answered(call.band.name, call.trigger.tenant, in_time)
         if call.claimed and self.ledger is not None:
             record = self.ledger.settle(self._wall, call.trigger.tenant, call.trigger.key, answer)
             if record is not None and not self.ledger.shut_why:
@@ -736,7 +793,7 @@
                 del self._of[waiter.trigger.source]
 
     def _refuse(self, trigger: Trigger, reason: str) -> None:
-        self._reply(trigger, Answer(Kind.REFUSED, reason))
+        self._reply(trigger, Answer(Kind.REFUSED, reason, wait_us=self._shed_us if reason == tr.SHED else 0))
 
     def _reply(self, trigger: Trigger, answer: Answer) -> None:
         self.counts[answer.kind.value] += 1
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -49,6 +49,8 @@
 from swiftwell.http.http1 import Request, Response
 from swiftwell.http.server import Server
 from swiftwell.settings.site import Site, host_port
+from swiftwell.sites.admit import Rank
+from swiftwell.sites.watch import BOARD, Watch
 from swiftwell.starting.follow import LOOK_S, Follower
 from swiftwell.starting.orders import Orders
 from swiftwell.starting.part import Part, routers
@@ -105,6 +107,7 @@
         self.fleet: FleetLink | None = None
         self.follower: Follower | None = None
         self.orders: Orders | None = None
+        self.watch: Watch | None = None
         self._tasks: list[asyncio.Task] = []
         self._health: Server | None = None
         self.health_port = self.listener_port = 0
@@ -130,6 +133,8 @@
         """What happened at a worker."""
         if isinstance(what, ports.OrderEnd) and self.orders:
             self.orders.ended(what)
+        if isinstance(what, ports.Asked) and self.watch and self.watch.asked(what):
+            return
         self.put(what)
 
     # Start and end.
@@ -345,7 +350,7 @@
                     tuple(one.lease for one in fleet.drill),
                     fleet.budgets,
                     fleet.before,
-                    ((f"list/{zone}", shared),) if fleet.one_reader else (),
+                    self._boards(zone, shared),
                     key_of(fleet.key_file),
                 )
                 addresses = tuple(host_port(one.at) for one in fleet.member)
@@ -371,6 +376,13 @@
             )  # fmt: skip
             self.follower.service = self._service
             self._tasks.append(asyncio.ensure_future(self.follower.run()))
+        if fleet.sites:
+            homes = [one.zone for one in fleet.member]
+            self.watch = Watch(
+                link, homes, self._ranks(), self.engine, self.clock, self.link.ask, self.log,
+                self._chance.getrandbits(32),
+            )  # fmt: skip
+            self._tasks.append(asyncio.ensure_future(self.watch.run()))
         if fleet.one_order:
             self.orders = Orders(link, self.link.order, self.put)
             self._tasks.append(asyncio.ensure_future(self._look_at_orders()))
@@ -384,6 +396,24 @@
         ]
         await asyncio.gather(*drills)
 
+    def _boards(self, zone: str, shared: tuple[int, ...]) -> tuple[tuple[str, tuple[int, ...]], ...]:
+        """The notice boards of this gateway: its zone's list, and the return of each site."""
+        fleet = self.site.fleet
+        assert fleet
+        found = [(f"list/{zone}", shared)] if fleet.one_reader else []
+        if fleet.sites:
+            everybody = tuple(range(len(fleet.member)))
+            found += [(BOARD + name, everybody) for name in sorted({one.zone for one in fleet.member})]
+        return tuple(found)
+
+    def _ranks(self) -> list[Rank]:
+        """Classes in the order of sacrifice, without a plan: each the same part of the work."""
+        fleet, classes = self.site.fleet, self.site.classes
+        assert fleet
+        named = [one for band in fleet.sacrifice for one in classes if one.name == band]
+        rest = sorted((one for one in classes if one not in named), key=lambda one: (one.worth, one.name))
+        return [Rank(one.name, "", 1 / len(classes), 1.0) for one in (*rest, *named)]
+
     async def _look_at_orders(self) -> None:
         assert self.orders
         while True:
@@ -436,6 +466,8 @@
             return Response(200 if ready else 503, {}, b"ready\n" if ready else b"no worker is known\n")
         if request.target == "/fleet":
             told = self.fleet.node.status(self.fleet.now_us()) if self.fleet else None
+            if told is not None and self.watch:
+                told |= self.watch.status()
             return Response(200, {"content-type": "application/json"}, msgspec.json.encode(told) + b"\n")
         if request.target == "/metrics":
             from swiftwell.gateway.metrics import page  # a tenth of a start, for those who ask
--- a/swiftwell/proof/days.py
+++ b/swiftwell/proof/days.py
@@ -67,7 +67,7 @@
     times: float = setting(2.0, low=0.1, high=100, doc="times the usual rate")
 
 
-BETWEEN = ("herd", "stop", "cut", "deafen", "link", "clock", "silence-resource", "epoch")
+BETWEEN = ("herd", "stop", "cut", "deafen", "link", "clock", "silence-resource", "epoch", "site")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -89,7 +89,10 @@
     one_by_one_s: float = setting(0.0, low=0, doc="s between them; 0 is all at once")
     times: float = setting(5.0, low=1, doc="slow: times slower")
     band: str = setting("", doc="full: the class that is turned away; none is all")
-    fault: str = setting("", doc="store, list, broker, amqp: which of its faults")
+    fault: str = setting("", doc="store, list, broker, amqp, site (die, silent, slow): which of its faults")
+    zone: int = setting(0, low=0, doc="site: which")
+    part: float = setting(1.0, low=0, high=1, doc="site: part of its calc servers")
+    routers: bool = setting(False, doc="site: its gateways go as well, and come back with it")
     lose_s: float = setting(0.0, low=0, doc="amqp restart: s of whose acknowledgements nothing is kept")
     keep: bool = setting(True, doc="broker: sessions are kept; restart: the books are")
     gateway: int = setting(0, low=0, doc="kill-gateway, restart, upgrade: which")
@@ -140,6 +143,9 @@
     act_ms: int = setting(20, low=1, high=10_000, doc="ms of such an act")
     checks: bool = setting(True, doc="the resource turns an older token away")
     one_reader: bool = setting(True, doc="one gateway a zone reads the list for the others")
+    sites: bool = setting(
+        False, doc="zones are sites: calc servers are in them by turns, their loss is judged"
+    )
     one_order: bool = setting(True, doc="a function's copy is ordered once")
     list_rate: float = setting(3.0, low=0.01, doc="questions a second to the list while nobody reads")
     budgets: tuple[str, ...] = setting(("cold",), doc="budgets that are divided")
@@ -212,6 +218,13 @@
             reader.wrong(line, f"trouble wants {trouble.workers} workers, the day has {count}")
         if trouble.do in BETWEEN and not day.together:
             reader.wrong(line, f"trouble {trouble.do} is one between gateways: it wants a `together` node")
+        if trouble.do == "site" and day.together:
+            if trouble.fault not in ("die", "silent", "slow"):
+                reader.wrong(
+                    line, f"trouble site wants fault die, silent or slow; {trouble.fault!r} is given"
+                )
+            if trouble.zone >= day.together.zones or not day.together.sites:
+                reader.wrong(line, "trouble site wants `together sites=true` and one of its zones, from 0")
         if trouble.gateway >= day.gateways:
             reader.wrong(line, f"trouble names gateway {trouble.gateway}, the day has {day.gateways} from 0")
     if reader.problems:
@@ -294,6 +307,8 @@
     lines.append(f"    fall-multiple {day.fall_multiple}; fall-ms {day.fall_ms}")
     lines.append(f"    misses {'true' if day.fleet.misses else 'false'}")
     lines.append(f"    {day.settings}")
+    if day.together and day.together.sites:
+        lines.append(f'    zone "z{number % day.together.zones}"')
     lines.append("}")
     lines.append(f"mqtt-listener port={listener}")
     if broker:
--- a/swiftwell/proof/runner.py
+++ b/swiftwell/proof/runner.py
@@ -325,6 +325,7 @@
         picked = self._chance.sample(range(self._workers), min(one.workers, self._workers))
         await asyncio.sleep(max(0.0, start + one.at - time.monotonic()))
         self._progress(f"{one.do} {one.fault}".strip(), time.monotonic() - start)
+        self._trace.note("trouble", do=one.do, fault=one.fault, for_s=one.for_s)
         match one.do:
             case "kill-gateway":
                 for _ in range(one.count):
@@ -410,6 +411,8 @@
         numbers, faults = self._whom(one), town.relay.faults
         rest = set(range(town.size)) - set(numbers)
         match one.do:
+            case "site":
+                await self._site(one, town)
             case "herd":
                 await asyncio.gather(*(self._kill(number, one.for_s) for number in numbers))
             case "stop":
@@ -448,6 +451,23 @@
                 for number in range(town.size):
                     await self._again(number, signal.SIGTERM, why="epoch")
 
+    async def _site(self, one: days.Trouble, town: Town) -> None:
+        """A part of a site's calc servers, all by default, and its gateways where the day says so."""
+        zones = town.told.zones
+        mine = [number for number in range(self._workers) if number % zones == one.zone]
+        for number in mine[: max(1, round(one.part * len(mine)))]:
+            match one.fault:
+                case "die":
+                    await self._fleet.tell(do="die", worker=number, back_s=one.for_s)
+                case "silent":
+                    await self._fleet.tell(do="fault", worker=number, name="hang", for_s=one.for_s)
+                case "slow":
+                    fault = {"name": "slow", "for_s": one.for_s, "times": one.times}
+                    await self._fleet.tell(do="fault", worker=number, **fault)
+        if one.routers:
+            gone = [number for number in range(town.size) if number % zones == one.zone]
+            await asyncio.gather(*(self._kill(number, one.for_s) for number in gone))
+
     async def _kill(self, number: int, away_s: float) -> None:
         await self._again(number, signal.SIGKILL, away_s)
 
--- a/swiftwell/proof/together.py
+++ b/swiftwell/proof/together.py
@@ -65,7 +65,7 @@
         return (
             f"fleet term-ms={told.term_ms} period-ms={told.period_ms} voters={told.voters} "
             f"epoch={self.epoch} one-reader={reader} one-order={order} "
-            f"list-rate={told.list_rate} {{\n{members}\n"
+            f"list-rate={told.list_rate} sites={str(told.sites).lower()} {{\n{members}\n"
             f"{drill if told.drill else ''}\n    {f'budgets {budgets}' if budgets else ''}\n"
             f"    {self.before}\n}}"
         )
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -287,6 +287,13 @@
         high=1_000,
         doc="questions a second that all zones together ask the list service while nobody reads",
     )
+    sites: bool = setting(
+        False, doc="members' zones are sites: their loss is judged, load refused by order, their return paced"
+    )
+    sacrifice: tuple[str, ...] = setting(
+        (),
+        doc="classes in the order in which they are refused while a site is lost; none is by worth",
+    )
     drill: tuple[FleetDrill, ...] = setting((), node="drill", doc="an exercise")
 
 
@@ -475,6 +482,11 @@
     if fleet.one_order and site.workers.load_window_ms:
         text = "fleet: one-order wants no load-window-ms: orders that are held back count before they go"
         reader.wrong(line, text)
+    if fleet.sites and len({one.zone for one in fleet.member}) < 2:
+        reader.wrong(line, "fleet: sites wants members in two zones at least")
+    for band in fleet.sacrifice:
+        if band not in [one.name for one in site.classes]:
+            reader.wrong(line, f"fleet: sacrifice names no class {band!r}")
     told = site.workers.worker_connections
     if bool(told) != ("connections" in fleet.budgets):
         reader.wrong(line, "fleet: budget connections and worker-connections in workers want each other")
--- a/swiftwell/sites/admit.py
+++ b/swiftwell/sites/admit.py
@@ -15,8 +15,8 @@
 
 DEEPER = 0.15  # of the whole order, that is cut further when the kept ones are not in time
 BACK = 0.03  # and given back in a step when they are
-WANTED = 0.95  # part of the kept calls that has to be in time
-LEAST = 10  # calls that a step goes by
+WANTED = 0.85  # part of the kept calls that has to be in time: one late call of a dozen is chance
+LEAST = 20  # calls that a step goes by
 STEP_US = 500_000  # us between two steps
 MOST_WAIT_MS = 4_000  # that a refused client is sent away for, spread from half of it
 
@@ -61,7 +61,7 @@
         """Part of a class's calls that is admitted now: the order is cut from its first on."""
         left = self.cut
         for one in self.order:
-            if (one.band, one.tenant) == (band, tenant):
+            if one.band == band and one.tenant in ("", tenant):  # no tenant: all of them
                 return 1.0 if one.share <= 0 else min(1.0, max(0.0, 1 - left / one.share))
             left = max(0.0, left - one.share)
         return 1.0  # a class that the plan does not know is not refused by it
--- a/swiftwell/sites/back.py
+++ b/swiftwell/sites/back.py
@@ -48,6 +48,7 @@
     token: int  # of the conductor's lease
     order: str = "none"
     flaps: int = 0
+    done: bool = False  # the last slice has served its time
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +74,8 @@
         self._calls = self._served = 0
         self._late = 0.0
         self._not_before = 0
+        self._done = False
+        self.waits = ""  # why the last judgement let nothing follow
 
     def settle_us(self) -> int:
         """How long a slice has to serve."""
@@ -94,12 +97,17 @@
             self._not_before = now + (HOLD_US << min(self.flaps, 3))
             self.flaps += 1
             return self._to(now, self.slice - 1, f"{self._served} of {self._calls} served, {seen.fell} fell")
-        if self.order is Order.HOLD or self.slice == len(SLICES) or now < self._not_before:
+        if self.slice and now - self.since < self.settle_us():
             return ""
-        if self.slice == 0:
-            return self._to(now, 1, "begins")
-        if now - self.since >= self.settle_us() and self._like_warm():
-            return self._to(now, self.slice + 1, f"{self._served} of {self._calls} served")
+        fine, said = self._like_warm(), f"{self._served} of {self._calls} served"
+        if self.slice == len(SLICES):
+            self._done = fine
+        elif self.order is not Order.HOLD and now >= self._not_before and (fine or not self.slice):
+            return self._to(now, self.slice + 1, said if self.slice else "begins")
+        if self.slice and self._calls >= ENOUGH and not self._done:
+            # Not as warm workers yet, as while it warms up: judged anew by what comes from here on.
+            self.waits = f"slice {self.slice} waits: {said}, {self._late / self._calls:.1f} times the usual"
+            self.since, self._calls, self._served, self._late = now, 0, 0, 0.0
         return ""
 
     def _falling(self) -> bool:
@@ -113,26 +121,28 @@
         )
 
     def _to(self, now: int, slice_: int, why: str) -> str:
-        self.slice, self.since = slice_, now
+        self.slice, self.since, self._done = slice_, now, False
         self._calls = self._served = 0
         self._late = 0.0
         return f"slice {slice_}: {why}"
 
-    def done(self, now: int) -> bool:
+    @property
+    def done(self) -> bool:
         """Whether the last slice has served its time: the site is up."""
-        return self.slice == len(SLICES) and now - self.since >= self.settle_us() and self._like_warm()
+        return self._done
 
     def word(self, wall_ms: int) -> Word:
         """What is put up."""
-        return Word(self.slice, wall_ms, self.token, self.order.value, self.flaps)
+        return Word(self.slice, wall_ms, self.token, self.order.value, self.flaps, self._done)
 
 
 class Follower:
     """What one router shows of a returning site."""
 
-    def __init__(self) -> None:
+    def __init__(self, after: int = 0) -> None:
+        """`after`: the token of an earlier return; words up to it are not of this one."""
         self.shown = 0
-        self._token = 0
+        self.after = self.token = after
 
     def look(self, word: Word | None, silent_us: int | None) -> int:
         """How many slices to show; `silent_us`: since the board's last sign of life.
@@ -140,9 +150,11 @@
         A word that is old lets nobody go on: what is shown stays.  It never grows by more than one at a time,
         and a conductor with an older token than one heard of is not followed.
         """
-        if word is None or silent_us is None or silent_us > FRESH_US or word.token < self._token:
+        if word is None or silent_us is None or silent_us > FRESH_US:
             return self.shown
-        self._token = word.token
+        if word.token < self.token or word.token <= self.after:
+            return self.shown
+        self.token = word.token
         self.shown = min(word.slice, self.shown + 1, len(SLICES))
         return self.shown
 
--- a/swiftwell/standins/fleet.py
+++ b/swiftwell/standins/fleet.py
@@ -61,8 +61,11 @@
         self._show(worker, state, now=False)
 
     def _show(self, worker: Worker, state: str, now: bool) -> None:
-        kind = self._kinds[self._workers.index(worker)]
-        self._list.put(worker.name, state, now, kind=kind, started_ms=worker.started_ms, zone="", cell=0)
+        number, together = self._workers.index(worker), self._day.together
+        kind, zone = self._kinds[number], ""
+        if together and together.sites:
+            zone = f"z{number % together.zones}"
+        self._list.put(worker.name, state, now, kind=kind, started_ms=worker.started_ms, zone=zone, cell=0)
 
     def commands(self) -> dict[str, Callable[..., object]]:
         """What the control channel may order."""
