--- a/swiftwell/cli/sites.py
+++ b/swiftwell/cli/sites.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import getpass
 import sys
+import urllib.error
+import urllib.request
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -17,6 +20,7 @@
 from swiftwell.sites.plan import Demand, LossPlan, Place, Sites, differences, plans, sacrifice
 
 FORM = 1  # of a saved plan
+WITHIN_S = 3.0  # s for a gateway to answer
 
 
 class Saved(msgspec.Struct):
@@ -150,6 +154,51 @@
     sys.exit(1 if lines else 0)
 
 
+def _order(address: str, site: str, what: str) -> None:
+    """Tell one gateway, which tells all others that live."""
+    request = urllib.request.Request(
+        f"http://{address}/sites/{site}/{what}", method="POST", headers={"swiftwell-who": getpass.getuser()}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=WITHIN_S) as answer:
+            click.echo(f"{site}: {what} {answer.read().decode().strip()}")
+    except urllib.error.HTTPError as error:
+        click.echo(f"{address}: {error.read().decode().strip()}", err=True)
+        sys.exit(2)
+    except (OSError, ValueError) as error:
+        click.echo(f"{address}: no answer from a gateway's health page: {error}", err=True)
+        sys.exit(1)
+
+
+_AT = click.argument("address", metavar="HEALTH-HOST:PORT")
+_SITE = click.argument("site")
+
+
+@sites.command()
+@_AT
+@_SITE
+@click.option("--how", type=click.Choice(["hold", "hurry", "off", "none"]), default="hold", show_default=True)
+def hold(address: str, site: str, how: str) -> None:
+    """Hold, hurry or call off the return of SITE, or let it go on (none)."""
+    _order(address, site, how)
+
+
+@sites.command()
+@_AT
+@_SITE
+def drain(address: str, site: str) -> None:
+    """Take SITE out, for works: what runs there ends, nothing new goes there."""
+    _order(address, site, "drain")
+
+
+@sites.command()
+@_AT
+@_SITE
+def release(address: str, site: str) -> None:
+    """Let a drained SITE back, in slices."""
+    _order(address, site, "release")
+
+
 def table(found: list[LossPlan], bands: list[str]) -> Table:
     """A row a loss: what is admitted of each class, worth kept, work used."""
     out = Table(title="what each loss leaves")
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -469,6 +469,10 @@
             if told is not None and self.watch:
                 told |= self.watch.status()
             return Response(200, {"content-type": "application/json"}, msgspec.json.encode(told) + b"\n")
+        if request.target.startswith("/sites/") and request.method == "POST" and self.watch:
+            site, _, what = request.target[7:].rpartition("/")
+            why = self.watch.order(site, what, request.headers.get("swiftwell-who", "unknown"))
+            return Response(200 if not why else 404, {}, f"{why or 'ordered'}\n".encode())
         if request.target == "/metrics":
             from swiftwell.gateway.metrics import page  # a tenth of a start, for those who ask
 
--- a/swiftwell/sites/desk.py
+++ b/swiftwell/sites/desk.py
@@ -31,6 +31,7 @@
     SERVES = 1  # so many of our calls are, at members' word
     FAILS = 2
     REPORT = 3  # to the conductor: how the slices did
+    ORDER = 4  # an operator's word, given to one router and passed on to all
 
 
 class Words(Struct, frozen=True, array_like=True):
@@ -42,6 +43,11 @@
     served: int = 0
     times_usual: float = 1.0
     fell: int = 0
+    what: str = ""  # of an order
+    who: str = ""
+
+
+ORDERS = (*(one.value for one in Order), "drain", "release")
 
 
 @dataclass(slots=True)
@@ -85,6 +91,7 @@
         self._orders: dict[str, Order] = {}
         self._listed = dict.fromkeys(names, 0)  # the most workers that a site ever had on our list
         self._next_at = now + WINDOW_US
+        self.ordered: list[Change] = []  # by operators' words that others passed on
 
     # What happens.
 
@@ -139,6 +146,8 @@
             case Say.REPORT:
                 seen = Seen(word.calls, word.served, word.times_usual, word.fell)
                 self._reports[word.site].append(seen)
+            case Say.ORDER if word.what in ORDERS:
+                self.ordered += filter(None, [self.order(now, word.site, word.what, word.who)])
         return []
 
     def order(self, now: int, site: str, what: str, who: str) -> Change | None:
@@ -171,7 +180,8 @@
             return None
         self._next_at = now + WINDOW_US
         looks, counts = self._looks(living, workers)
-        out = Out(changes=self.judge.look(now, looks))
+        out = Out(changes=[*self.ordered, *self.judge.look(now, looks)])
+        self.ordered = []
         for site in self.judge.sites:
             state = self.judge.state(site)
             word, silent, writer = boards.get(site, (None, None, -1))
--- a/swiftwell/sites/watch.py
+++ b/swiftwell/sites/watch.py
@@ -18,12 +18,13 @@
 from swiftwell.interface import State, Status
 from swiftwell.sites.admit import Rank
 from swiftwell.sites.back import Word
-from swiftwell.sites.desk import Desk, Words
+from swiftwell.sites.desk import ORDERS, Desk, Say, Words
 from swiftwell.sites.judge import Change
 
 NAME = "sites"  # of these words in the fleet
 LOOK_S = 0.1  # s between looks whether a window is over: a fifth of one
 PROBE_US = 400_000  # us for a probe: less than a window
+MOST_WHO = 64  # characters of an operator's name that are passed on
 BOARD = "site/"  # and the site's name: the board of its return
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -149,14 +150,22 @@
         level = "info" if change.now.value == "up" else "warning"
         self._log(level, "site", site=change.site, was=change.was.value, now=change.now.value, why=change.why)
 
-    def order(self, site: str, what: str, who: str) -> bool:
-        """An operator's word; False where there is no such site."""
+    def order(self, site: str, what: str, who: str) -> str:
+        """An operator's word, passed on to all that live; why it can't be carried out, empty where it can."""
         if site not in self.desk.judge.sites:
-            return False
+            return f"no site {site!r}: {', '.join(self.desk.judge.sites)}"
+        if what not in ORDERS:
+            return f"no order {what!r}: {', '.join(ORDERS)}"
+        now, node = self._link.now_us(), self._link.node
         self._log("warning", "site-order", site=site, order=what, who=who)
-        if change := self.desk.order(self._link.now_us(), site, what, who):
+        if change := self.desk.order(now, site, what, who):
             self._tell(change)
-        return True
+        said = _encode(Words(Say.ORDER, site, what=what, who=who[:MOST_WHO]))
+        for member in node.members.alive():
+            if member != node.told.me:
+                node.say(member, NAME, said)
+        self._link.stir()
+        return ""
 
     def status(self) -> dict[str, object]:
         """For the health page."""
