--- a/swiftwell/sites/judge.py
+++ b/swiftwell/sites/judge.py
@@ -7,8 +7,8 @@
 
 The states, what each means, and what leads out of it; nothing else changes one (MOVES):
 
-UP         serves.  DOUBT at the first bad window; RETURNING where a conductor says so, as to a router that
-           has just started.
+UP         serves.  DOUBT at the first bad window; RETURNING where a conductor says so and it has not served
+           us yet, as to a router that has just started.
 DOUBT      bad for us.  UP after a good window; LOST when bad for DOUBT_US and more of those who saw it say
            that it fails than that it serves; SLOW when it answers, late; APART when most other sites are bad
            for us at once and nobody there is heard.
@@ -114,6 +114,7 @@
     last: Look = field(default_factory=Look)
     late: deque[Look] = field(default_factory=lambda: deque(maxlen=WINDOWS))
     failed: set[str] = field(default_factory=set)  # workers that did nothing but fail since the doubt began
+    served: bool = False  # us, since it was lost last or since we began
     hung: bool = False  # the doubt began with bad windows, not with slow ones
     said: dict[int, tuple[int, bool]] = field(default_factory=dict)  # member: when, whether it serves there
     losses: deque[int] = field(default_factory=lambda: deque(maxlen=MOST_FLAPS + 1))
@@ -150,6 +151,7 @@
             verdict = one.last.verdict
             if verdict == "good":
                 one.bad_since, one.good_since = 0, one.good_since or now
+                one.served = True
                 one.failed.clear()
             elif verdict != "nothing":
                 one.good_since, one.bad_since = 0, one.bad_since or now
@@ -227,6 +229,7 @@
             one.failed.clear()
         if state is State.LOST:
             one.losses.append(now)
+            one.served = False
         return Change(name, was, state, why)
 
     # Told from outside: the conductor's last slice stands; an operator's word.
@@ -240,9 +243,12 @@
         return self._set(now, site, one, State.UP, "all slices serve")
 
     def join(self, now: int, site: str) -> Change | None:
-        """A conductor is at work on a site that we take for up: we began after it was lost."""
+        """A conductor is at work on a site that we take for up: we began after it was lost.
+
+        One that serves us is up to us, whatever a conductor says: it may be alone with its judgement.
+        """
         one = self.sites[site]
-        if one.state is not State.UP:
+        if one.state is not State.UP or one.served:
             return None
         return self._set(now, site, one, State.RETURNING, "its return is conducted")
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -2,6 +2,7 @@
 broke."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -44,6 +45,25 @@
         assert fleet["list"]["asked"] < 75 and fleet["list"]["most_in_a_second"] < 12
 
 
+def test_a_lost_site_comes_back_in_slices_and_one_conducts(tmp_path):
+    """All workers and gateways of one of three sites die and come back cold; then another falls silent."""
+
+    async def main():
+        name, day = days.load("site-lost")
+        return await Player(name, day, seed=1, keep=tmp_path).play()
+
+    told = asyncio.run(main())
+    assert told["rules_kept"], (told["rules"], told["breaches"][:5])
+    assert told["served"] > told["calls"] * 0.8
+    lines = [line for path in tmp_path.glob("gw-*.log") for line in path.read_text().splitlines()]
+    found = [json.loads(line) for line in lines if '"event":"site' in line]
+    lost = {one["why"] for one in found if one.get("now") == "lost" and one["site"] == "z1"}
+    assert lost and all("others: 0 are served there" in why for why in lost)
+    slices = [one for one in found if one["event"] == "site-slice" and one["site"] == "z1"]
+    shown = [one["why"].split(":")[0] for one in sorted(slices, key=lambda one: one["timestamp"])]
+    assert shown[:3] == ["slice 1", "slice 2", "slice 3"], slices  # in their order, by whoever conducts
+
+
 def test_handovers_under_steady_traffic_lose_and_double_nothing(tmp_path):
     """The day `upgrades` at the scale of nine handovers, a third of them with a crash."""
 
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -244,6 +244,14 @@
     assert view.judge.flaps(view.now + FLAP_US, "b") == 0
 
 
+def test_only_a_router_that_the_site_never_served_joins_a_return_on_a_conductors_word():
+    """One router that was alone with its judgement hid a site from all that it served."""
+    view = View()
+    assert view.judge.join(0, "b").now is State.RETURNING and view.judge.join(0, "b") is None
+    view = View().go(1)
+    assert view.judge.join(view.now, "b") is None and view.judge.state("b") is State.UP
+
+
 def test_an_operator_takes_a_site_out_and_back():
     view = View()
     assert view.judge.drain(0, "b", "ops").why == "by ops" and view.judge.drain(0, "b", "ops") is None
