--- a/swiftwell/gateway/logs.py
+++ b/swiftwell/gateway/logs.py
@@ -34,9 +34,11 @@
 
     def write(self, level: str, event: str, **fields: object) -> None:
         """A line, unless its kind has had its part of this window."""
+        if LEVELS[level] < self._least:  # nobody misses what is not asked for: it is not counted as left out
+            return
         count = self._counts.get(event, 0)
         self._counts[event] = count + 1
-        if count < self._most and LEVELS[level] >= self._least:
+        if count < self._most:
             self._line(level, event, fields)
 
     def sweep(self) -> None:
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -1,6 +1,8 @@
 """The MQTT endpoint on real sockets: hard cases of publishers, good and bad ones."""
 
 import asyncio
+import io
+import json
 import random
 import socket
 import subprocess
@@ -24,6 +26,7 @@
     Will,
     encode,
 )
+from swiftwell.gateway.logs import Logs
 from swiftwell.http.client import Client as HttpClient
 from swiftwell.http.http1 import Request as HttpRequest
 from swiftwell.proof.trace import Trace
@@ -477,3 +480,16 @@
             client.close()
 
     run(main())
+
+
+def test_lines_below_the_level_are_not_counted_as_left_out(monkeypatch):
+    """A debug line said often made a warning that lines were left out, which nobody had asked for."""
+    out = io.StringIO()
+    logs = Logs("json", "info", 2, out)
+    for _ in range(5):
+        logs.write("debug", "quiet")
+        logs.write("info", "loud")
+    monkeypatch.setattr(logs, "_since", logs._since - 60)
+    logs.sweep()
+    said = [json.loads(line) for line in out.getvalue().splitlines()]
+    assert [one["event"] for one in said] == ["loud", "loud", "lines-left-out"] and said[-1]["kind"] == "loud"
