--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,7 +6,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 import time
 import urllib.request
@@ -15,6 +14,7 @@
 from socketbench import SITE, Console, http, raw_worker
 
 from swiftwell.proof.holders import one_holder
+from swiftwell.proof.together import free_ports
 from swiftwell.standins.relay import Relay
 from swiftwell.standins.resource import Act, Resource
 
@@ -26,17 +26,6 @@
     writer.write(http(b"%d" % number))
 
 
-def free_ports(count):
-    """UDP ports that were free just now."""
-    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    found = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return found
-
-
 class Fleet:
     """The processes, the relay between them and the resource that a drill acts at."""
 
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -11,6 +11,8 @@
 from hypothesis import strategies as st
 
 from swiftwell.cli.main import main
+from swiftwell.proof.explore import replay, walk
+from swiftwell.proof.explore_sites import ReturnModel, Scope
 from swiftwell.settings import sites as document
 from swiftwell.settings.document import SettingsError
 from swiftwell.sites.admit import LEAST, STEP_US, Admission, Rank
@@ -381,3 +383,62 @@
         now += STEP_US
         one.look(now)
     assert one.cut == one.plan_cut
+
+
+# --- walked -----------------------------------------------------------------------------------------------
+
+
+class AtOnce(Conductor):
+    """Takes every slice for settled."""
+
+    def settle_us(self):
+        return 0
+
+
+class Jumps(Follower):
+    """Goes to whatever the word says."""
+
+    def look(self, word, silent_us):
+        super().look(word, silent_us)
+        self.shown = word.slice if word.token >= self.token else self.shown
+        return self.shown
+
+
+class AnyToken(Follower):
+    """Follows whoever speaks last."""
+
+    def look(self, word, silent_us):
+        self.shown = min(word.slice, self.shown + 1)
+        self.token = max(self.token, word.token)
+        return self.shown
+
+
+class NoWayBack(Conductor):
+    """Once a slice was taken back, nothing follows ever."""
+
+    def look(self, now, seen):
+        why = super().look(now, seen)
+        if self._not_before:
+            self._not_before = 1 << 60
+        return why
+
+
+@pytest.mark.parametrize(
+    "planted, breach",
+    [
+        ({"conductor": AtOnce}, "slice 2 after"),
+        ({"follower": Jumps}, "at once"),
+        ({"follower": AnyToken}, "followed token 1 after 2"),
+        ({"conductor": NoWayBack}, "no way out"),
+    ],
+)
+def test_a_fault_planted_in_the_return_is_found_and_replayed(planted, breach):
+    model = type("Planted", (ReturnModel,), planted)(Scope())
+    found = walk(model, 60_000)
+    assert breach in found.breach, found
+    assert replay(model, found.trace).breach == found.breach
+
+
+def test_the_return_is_walked_to_the_end_of_a_small_scope():
+    found = walk(ReturnModel(Scope(leases=1, jumps=3, goods=3)), 60_000)
+    assert found.whole and not found.breach and found.states > 200, found
