--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -42,8 +42,8 @@
         fleet = told["fleet"]
         assert (fleet["overlaps"], fleet["older"]) == (0, 0) and fleet["acts"] > 50
         assert told["served"] > told["calls"] * 0.6 and fleet["list"]["by"] >= 2
-        # Each for itself they ask 150 times and more: every five seconds, at each change, after each start.
-        assert fleet["list"]["asked"] < 110
+        # Each for itself they ask 97 times on fleet-faults and 102 times on site-lost; 21 and 52 were seen.
+        assert fleet["list"]["asked"] < 85
     # The return of the site: in slices, in their order, by whoever conducts.
     logs = (tmp_path / "site-lost").glob("gw-*.log")
     lines = [line for path in logs for line in path.read_text().splitlines() if '"event":"site' in line]
