--- a/swiftwell/starting/plan.py
+++ b/swiftwell/starting/plan.py
@@ -17,7 +17,7 @@
 from swiftwell.starting.copies import ASKED_US, TRIES
 from swiftwell.starting.lists import ALONE_US, LEARN_US, SILENT_PERIODS
 
-START_CPU_S = 0.55  # s of processor time of one start, measured (docs/performance.md)
+START_CPU_S = 0.5  # s of processor time of one start, measured (docs/performance.md)
 ROW_BYTES = 45  # of a worker on a board: HOST:PORT, kind, zone, start
 LIST_S = 1.0  # s until the first answer has reached all of a zone: five rounds of a board, with losses
 
