--- a/swiftwell/fleet/members.py
+++ b/swiftwell/fleet/members.py
@@ -23,10 +23,16 @@
 
 PERIOD_US = 1_000_000  # us between two probes of ours: a router sends some bytes a second for this
 ACK_PART = 0.35  # of a period until an ack is missed and others are asked: a LAN's datagram takes a hundredth
+PING_AGAIN = 0.12  # of a period until a ping without an ack is said again: twice before others are asked, as
+# with three datagrams in ten lost one ping in two has none, and suspicions outran what news can refute
 ASKED = 3  # members asked to ping one that did not answer us: sees through one-way cuts and losses of our own
 SUSPECT_PERIODS = 3.0  # periods, times the digits of the roster's size, until a suspected one counts as dead
 NEWS_TURNS = 3.0  # times the binary digits of that size that one piece of news is passed on
-NEWS_EACH = 6  # pieces of news on a datagram: with a ping they stay far under its bound
+NEWS_EACH = 10  # pieces of news on a datagram: with a ping they stay under its bound of 256 bytes
+NEWCOMER = (
+    20  # datagrams to one that has just started that are filled up with what we hold of others: news of
+)
+# those who changed lately does not tell it of the rest, whom it would only meet one a period
 WORST_HEALTH = 8  # of our own: periods and time limits stretch up to nine times
 AWAY_PERIODS = 2.0  # periods without a tick after which we take it that we stood still, and not the others
 DEAD_EVERY = 4  # periods between two pings of one that counts as dead: how a healed cut is noticed
@@ -62,6 +68,7 @@
     of: int
     number: int
     sent: int
+    said: int  # when it was last said
     asked: bool = False
 
 
@@ -94,6 +101,7 @@
         self._news: list[dict[int, None]] = [{} for _ in range(math.ceil(self._turns) + 1)]
         self._left: dict[int, int] = {}  # member: where its news stands in that
         self._suspects: set[int] = set()
+        self._newcomers: dict[int, int] = {}  # member: datagrams to it that are still filled up
         self._alive: list[int] = [me]
 
     # What the others see.
@@ -110,6 +118,9 @@
         if gap > AWAY_PERIODS * self.period_us:
             self._woke(now, gap)
         probe = self._probe
+        if probe and not probe.asked and now - probe.said >= PING_AGAIN * self._period():
+            probe.said = now
+            out.append((probe.of, Ping(probe.number)))
         if probe and not probe.asked and now - probe.sent >= ACK_PART * self._period():
             probe.asked = True
             if self._heard < probe.sent:  # nobody's word came since: it may well be us
@@ -150,7 +161,7 @@
                 return out
             return [*out, self._ping(of)]
         ping = self._ping(of)
-        self._probe = _Probe(of, self._number, now)
+        self._probe = _Probe(of, self._number, now, now)
         self.counts["pings"] += 1
         return [*out, ping]
 
@@ -195,6 +206,7 @@
             return  # a late datagram of an earlier run
         self._heard = now
         if life > one.life:
+            self._newcomers[sender] = NEWCOMER
             self._set(now, sender, life, 0, Status.ALIVE)
 
     def take(self, now: int, sender: int, word: Word) -> list[tuple[int, Word]]:
@@ -299,6 +311,16 @@
             if of == self.me:
                 out.append(News(of, self.life, self.turn, Status.ALIVE))
             elif of != to:
-                one = self.table[of]
-                out.append(News(of, one.life, one.turn, one.status))
+                out.append(self._piece(of))
+        if left := self._newcomers.get(to):
+            self._newcomers[to] = left - 1
+            if left == 1:
+                del self._newcomers[to]
+            known = [of for of in self._alive if of not in (self.me, to) and of not in told]
+            room = min(NEWS_EACH - len(out), len(known))
+            out += [self._piece(of) for of in self._chance.sample(known, room)]
         return out
+
+    def _piece(self, of: int) -> News:
+        one = self.table[of]
+        return News(of, one.life, one.turn, one.status)
