--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 test: setup
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check swiftwell/cli swiftwell/discovery swiftwell/fleet swiftwell/fronts swiftwell/gateway swiftwell/handover swiftwell/http swiftwell/lab \
-		swiftwell/platform swiftwell/proof swiftwell/settings swiftwell/standins swiftwell/workers
+		swiftwell/platform swiftwell/proof swiftwell/settings swiftwell/sites swiftwell/standins swiftwell/starting swiftwell/workers
 	PYTHONHASHSEED=0 $(BIN)/python -m pytest
 
 setup: $(VENV)/.done
