--- a/swiftwell/cli/day.py
+++ b/swiftwell/cli/day.py
@@ -14,9 +14,9 @@
 from rich.live import Live
 from rich.table import Table
 
+from swiftwell.cli.reading import or_exit
 from swiftwell.proof import days
 from swiftwell.proof.runner import DayFailed, Player
-from swiftwell.settings.document import SettingsError
 
 
 @click.group()
@@ -56,12 +56,7 @@
 
 
 def _load(name: str) -> tuple[str, days.Day]:
-    try:
-        return days.load(name)
-    except SettingsError as error:
-        for problem in error.problems:
-            click.echo(str(problem), err=True)
-        sys.exit(2)
+    return or_exit(lambda: days.load(name))
 
 
 def _play(player: Player) -> dict[str, Any]:
--- a/swiftwell/cli/fleet.py
+++ b/swiftwell/cli/fleet.py
@@ -11,6 +11,8 @@
 import click
 import msgspec
 
+from swiftwell.cli.reading import or_exit
+
 WITHIN_S = 3.0  # s for the gateway to answer
 
 
@@ -94,16 +96,10 @@
 @_JSON
 def start_plan(site: Path, routers: int | None, cores: float, as_json: bool) -> None:
     """What a start of all gateways of SITE asks of the list service and the workers, at most."""
-    from swiftwell.settings.document import SettingsError
     from swiftwell.settings.site import load
     from swiftwell.starting.plan import lines, plan
 
-    try:
-        found = load(site)
-    except SettingsError as error:
-        for problem in error.problems:
-            click.echo(str(problem), err=True)
-        sys.exit(2)
+    found = or_exit(lambda: load(site))
     count = routers or (len(found.fleet.member) if found.fleet else found.gateways)
     told = plan(found, count, cores)
     _say({name: getattr(told, name) for name in told.__slots__}, as_json, lines(told, found))
--- a/swiftwell/cli/lab.py
+++ b/swiftwell/cli/lab.py
@@ -10,8 +10,8 @@
 from rich.console import Console
 
 from swiftwell.cli.day import table
+from swiftwell.cli.reading import or_exit
 from swiftwell.proof import days
-from swiftwell.settings.document import SettingsError
 
 
 @click.group()
@@ -55,12 +55,7 @@
 
 def load(name: str) -> tuple[str, days.Day]:
     """A day by its name or path; ends the command where it can't be read."""
-    try:
-        return days.load(name)
-    except SettingsError as error:
-        for problem in error.problems:
-            click.echo(str(problem), err=True)
-        sys.exit(2)
+    return or_exit(lambda: days.load(name))
 
 
 @lab.command()
@@ -118,9 +113,4 @@
 def _experiment(file: Path):  # type: ignore[no-untyped-def]
     from swiftwell.lab import experiment as ex
 
-    try:
-        return ex.load(file)
-    except SettingsError as error:
-        for problem in error.problems:
-            click.echo(str(problem), err=True)
-        sys.exit(2)
+    return or_exit(lambda: ex.load(file))
--- a/swiftwell/cli/lists.py
+++ b/swiftwell/cli/lists.py
@@ -10,10 +10,10 @@
 from rich.console import Console
 from rich.table import Table
 
+from swiftwell.cli.reading import or_exit
 from swiftwell.discovery import saved, trust
 from swiftwell.discovery.entries import from_file
 from swiftwell.interface import State
-from swiftwell.settings.document import SettingsError
 
 
 @click.group(name="list")
@@ -112,12 +112,7 @@
 
     Its entries count as last listed now; the gateway must not be running.
     """
-    try:
-        entries = from_file(workers.read_text(encoding="utf-8"), str(workers), int)
-    except SettingsError as error:
-        for problem in error.problems:
-            click.echo(str(problem), err=True)
-        sys.exit(2)
+    entries = or_exit(lambda: from_file(workers.read_text(encoding="utf-8"), str(workers), int))
     wall, mono, boot = time.time_ns() // 1_000, time.monotonic_ns() // 1_000, saved.boot_id()
     kept = tuple(
         saved.SavedWorker(
--- a/swiftwell/cli/main.py
+++ b/swiftwell/cli/main.py
@@ -14,7 +14,7 @@
 import msgspec
 import uvloop
 
-from swiftwell.settings.document import SettingsError
+from swiftwell.cli.reading import or_exit
 from swiftwell.settings.schema import reference
 from swiftwell.settings.site import Site, load
 
@@ -149,10 +149,4 @@
 
 
 def _load(site: Path) -> Site:
-    try:
-        return load(site)
-    except SettingsError as error:
-        for problem in error.problems:
-            click.echo(str(problem), err=True)
-        click.echo(f"{site}: {len(error.problems)} problem(s)", err=True)
-        sys.exit(2)
+    return or_exit(lambda: load(site), site)
--- a/swiftwell/cli/sites.py
+++ b/swiftwell/cli/sites.py
@@ -15,21 +15,14 @@
 from rich.console import Console
 from rich.table import Table
 
+from swiftwell.cli.reading import or_exit
 from swiftwell.settings import sites as document
-from swiftwell.settings.document import SettingsError
 from swiftwell.sites.plan import Demand, LossPlan, Place, Sites, differences, plans, sacrifice
 
 FORM = 1  # of a saved plan
 WITHIN_S = 3.0  # s for a gateway to answer
 
 
-class Saved(msgspec.Struct):
-    """A plan in a file."""
-
-    form: int
-    plans: list[LossPlan]
-
-
 class _Row(msgspec.Struct):
     lost: list[str]
     flows: list[dict[str, Any]]
@@ -47,13 +40,7 @@
 
 
 def _sites(path: Path) -> Sites:
-    try:
-        told = document.load(path)
-    except SettingsError as error:
-        for problem in error.problems:
-            click.echo(str(problem), err=True)
-        click.echo(f"{path}: {len(error.problems)} problem(s)", err=True)
-        sys.exit(2)
+    told = or_exit(lambda: document.load(path), path)
     places = tuple(
         Place(
             one.name,
--- a/swiftwell/lab/experiment.py
+++ b/swiftwell/lab/experiment.py
@@ -22,7 +22,7 @@
 from swiftwell.lab.baselines import DESIGNS
 from swiftwell.lab.emulator import Emulation
 from swiftwell.proof import days
-from swiftwell.settings.document import Node, Problem, SettingsError, parse
+from swiftwell.settings.document import Node, SettingsError, parse, text_of
 from swiftwell.settings.schema import Reader, setting
 
 # What a factor changes of a day: its name and what a level of it does.
@@ -110,10 +110,7 @@
 
 def load(path: Path) -> Experiment:
     """An experiment's file; raises SettingsError."""
-    try:
-        return read(path.read_text(encoding="utf-8"), str(path))
-    except OSError as error:
-        raise SettingsError([Problem(str(path), 0, f"can't be read: {error.strerror}")]) from None
+    return read(text_of(path), str(path))
 
 
 def cells(experiment: Experiment) -> Iterator[Cell]:
--- a/swiftwell/settings/document.py
+++ b/swiftwell/settings/document.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import ckdl
@@ -201,6 +202,16 @@
     return [build(node) for node in found]
 
 
+def text_of(path: Path) -> str:
+    """The text of a document; raises SettingsError where it can't be read."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError([Problem(str(path), 0, f"can't be read: {error.strerror}")]) from None
+    except UnicodeDecodeError as error:
+        raise SettingsError([Problem(str(path), 0, f"is not UTF-8 at byte {error.start}")]) from None
+
+
 def _plain(value: Any) -> Any:
     """A value without its type annotation."""
     return value.value if isinstance(value, ckdl.Value) else value
--- a/swiftwell/settings/site.py
+++ b/swiftwell/settings/site.py
@@ -11,7 +11,7 @@
 from swiftwell import interface as io
 from swiftwell.fronts.amqp.redelivery import Redelivered
 from swiftwell.fronts.reading import FunctionHint
-from swiftwell.settings.document import Node, Problem, SettingsError, parse
+from swiftwell.settings.document import Node, SettingsError, parse, text_of
 from swiftwell.settings.schema import Reader, setting
 
 _DAY_MS = 86_400_000
@@ -531,9 +531,4 @@
 
 def load(path: Path) -> Site:
     """Read a file; raises SettingsError, also where the file can't be read."""
-    try:
-        return read(path.read_text(encoding="utf-8"), str(path))
-    except OSError as error:
-        raise SettingsError([Problem(str(path), 0, f"can't be read: {error.strerror}")]) from None
-    except UnicodeDecodeError as error:
-        raise SettingsError([Problem(str(path), 0, f"is not UTF-8 at byte {error.start}")]) from None
+    return read(text_of(path), str(path))
--- a/swiftwell/settings/sites.py
+++ b/swiftwell/settings/sites.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from swiftwell.settings.document import Node, Problem, SettingsError, parse
+from swiftwell.settings.document import Node, SettingsError, parse, text_of
 from swiftwell.settings.schema import Reader, setting
 
 
@@ -101,7 +101,4 @@
 
 def load(path: Path) -> SitesDocument:
     """Read a file; raises SettingsError."""
-    try:
-        return read(path.read_text(encoding="utf-8"), str(path))
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError([Problem(str(path), 0, f"can't be read: {error}")]) from None
+    return read(text_of(path), str(path))
