One loop looks at orders and parts; members of a board are looked up, not searched; dead names gone

Three tasks of the shell each woke twenty times a second for what one turn does. Behaviour as before.

--- a/swiftwell/fleet/board.py
+++ b/swiftwell/fleet/board.py
@@ -43,6 +43,7 @@
     ) -> None:
         self.name, self.me, self.period_us = name, me, period_us
         self.others = tuple(number for number in group if number != me)
+        self._group = frozenset(self.others)  # looked at for each datagram
         self._chance = random.Random(f"{seed}/{name}/{me}")
         self._here = _Copy(0)  # the edition that counts
         self.beat, self.beat_at = 0, 0  # the highest of this edition, and when it rose
@@ -50,9 +51,8 @@
         self.changed = False  # since the user last looked
         self.heard_at = 0  # when any of the group last spoke to us, of whatever
         self.coming_at = -1 << 62  # when we last heard of an edition of another's that we don't hold yet
-        self.living: Collection[
-            int
-        ] = ()  # whom to tell first; all of the group are asked by one without a list
+        # Whom to tell first; one that holds nothing asks all of the group.
+        self.living: Collection[int] = ()
         self.counts: Counter[str] = Counter()
         self._next: _Copy | None = None  # of a higher edition, not whole yet
         self._known = (0, 0)  # the highest edition and number heard of
@@ -120,6 +120,11 @@
         if self.writing:
             self.beat, self.beat_at = self.beat + 1, now
 
+    def heard(self, now: int, member: int) -> None:
+        """A member spoke to us, of whatever."""
+        if member in self._group:
+            self.heard_at = now
+
     def silent_us(self, now: int) -> int | None:
         """How long the beat has stood still; None where none was heard."""
         return now - self.beat_at if self.edition else None
@@ -150,7 +155,7 @@
 
     def take(self, now: int, sender: int, word: Word) -> list[tuple[int, Word]]:
         """A word of one of the group; what is said back."""
-        if sender not in self.others or not 0 <= getattr(word, "edition", 0) < MOST_EDITION:
+        if sender not in self._group or not 0 <= getattr(word, "edition", 0) < MOST_EDITION:
             self.counts["stranger"] += 1
             return []
         match word:
--- a/swiftwell/fleet/members.py
+++ b/swiftwell/fleet/members.py
@@ -29,10 +29,8 @@
 SUSPECT_PERIODS = 3.0  # periods, times the digits of the roster's size, until a suspected one counts as dead
 NEWS_TURNS = 3.0  # times the binary digits of that size that one piece of news is passed on
 NEWS_EACH = 10  # pieces of news on a datagram: with a ping they stay under its bound of 256 bytes
-NEWCOMER = (
-    20  # datagrams to one that has just started that are filled up with what we hold of others: news of
-)
-# those who changed lately does not tell it of the rest, whom it would only meet one a period
+NEWCOMER = 20  # datagrams to one that has just started that are filled up with what we hold of others, as
+# news of those who changed lately does not tell it of the rest, whom it would only meet one a period
 WORST_HEALTH = 8  # of our own: periods and time limits stretch up to nine times
 AWAY_PERIODS = 2.0  # periods without a tick after which we take it that we stood still, and not the others
 DEAD_EVERY = 4  # periods between two pings of one that counts as dead: how a healed cut is noticed
@@ -186,9 +184,8 @@
         self._worse()
         self._probe = None
         self._relays.clear()
-        for one in self.table.values():
-            if one.status is Status.SUSPECT:
-                one.until += gap
+        for number in self._suspects:
+            self.table[number].until += gap
         self._refute(0)
         self._next_at = now
 
--- a/swiftwell/fleet/node.py
+++ b/swiftwell/fleet/node.py
@@ -106,10 +106,9 @@
             self._send(candidate.tick(now))
         for budget, share in self.shares.items():
             self._budget(now, budget, share)
-        if self.boards:
-            for board in self.boards.values():
-                board.living = self.members.alive()
-                self._send(board.step(now))
+        for board in self.boards.values():
+            board.living = self.members.alive()
+            self._send(board.step(now))
         return self._packed()
 
     def _budget(self, now: int, budget: str, share: Share) -> None:
@@ -149,8 +148,7 @@
         self.counts["taken"] += 1
         self.members.heard(now, sender, got.life)
         for board in self.boards.values():
-            if sender in board.others:
-                board.heard_at = now
+            board.heard(now, sender)
         for listener in self.listeners:
             listener(sender)
         if got.life < self.members.table[sender].life:
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -15,6 +15,7 @@
 import socket
 import subprocess
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -383,13 +384,16 @@
                 self._chance.getrandbits(32),
             )  # fmt: skip
             self._tasks.append(asyncio.ensure_future(self.watch.run()))
+        looks: list[Callable[[], None]] = []
         if fleet.one_order:
             self.orders = Orders(link, self.link.order, self.put)
-            self._tasks.append(asyncio.ensure_future(self._look_at_orders()))
+            looks.append(self.orders.look)
         if "cold" in fleet.budgets:
-            self._tasks.append(asyncio.ensure_future(self._act_by_part()))
+            looks.append(self._acting_by_part(link))
         if "connections" in fleet.budgets:
-            self._tasks.append(asyncio.ensure_future(self._connect_by_part()))
+            looks.append(lambda: self._connect_by_part(link))
+        if looks:
+            self._tasks.append(asyncio.ensure_future(self._keep_looking(looks)))
         drills = [
             Drill(link, one.lease, self.site.name, host_port(one.resource), one.act_ms / 1e3, self.log).run()
             for one in fleet.drill
@@ -414,39 +418,39 @@
         rest = sorted((one for one in classes if one not in named), key=lambda one: (one.worth, one.name))
         return [Rank(one.name, "", 1 / len(classes), 1.0) for one in (*rest, *named)]
 
-    async def _look_at_orders(self) -> None:
-        assert self.orders
+    @staticmethod
+    async def _keep_looking(looks: list[Callable[[], None]]) -> None:
+        """What is looked at now and then, all in one turn of the loop."""
         while True:
-            self.orders.look()
+            for look in looks:
+                look()
             await asyncio.sleep(LOOK_S)
 
-    async def _act_by_part(self) -> None:
+    def _acting_by_part(self, link: FleetLink) -> Callable[[], None]:
         """Tell the module what part of the fleet's budget for starting workers is ours."""
-        assert self.fleet
-        share = self.fleet.node.shares["cold"]
+        share = link.node.shares["cold"]
         part, before = Part(share.own), (0, 0)
-        while True:
-            now = self.fleet.now_us()
+
+        def look() -> None:
+            nonlocal before
+            now = link.now_us()
             divide, until = part.look(now, share.parts(now)), share.ends(now)
             if (divide, until) != before:
                 before = divide, until
                 ends = self.clock.now_us() + until - now if until else 0
                 self.engine.divide_by(divide, ends, routers(share.own))
                 self.log("debug", "fleet-part", routers=divide, at_us=self.clock.now_us(), until_us=ends)
-            await asyncio.sleep(LOOK_S)
 
-    async def _connect_by_part(self) -> None:
+        return look
+
+    def _connect_by_part(self, link: FleetLink) -> None:
         """Keep to our part of the connections that a worker holds from all gateways.
 
         Rises and falls at once, half a step late at most; a process that stands still keeps what is open.
         """
-        assert self.fleet
-        share = self.fleet.node.shares["connections"]
-        while True:
-            now = self.fleet.now_us()
-            parts = min(share.parts(now), share.parts(now + int(2e6 * LOOK_S)))
-            self.link.allow(self.site.workers.worker_connections * parts // MILLION)
-            await asyncio.sleep(LOOK_S)
+        share, now = link.node.shares["connections"], link.now_us()
+        parts = min(share.parts(now), share.parts(now + int(2e6 * LOOK_S)))
+        self.link.allow(self.site.workers.worker_connections * parts // MILLION)
 
     def _admit(self, packet: Connect) -> Reason | None:
         users = self.site.listener.user if self.site.listener else ()
--- a/swiftwell/sites/desk.py
+++ b/swiftwell/sites/desk.py
@@ -228,10 +228,10 @@
     def _looks(
         self, living: Collection[int], workers: dict[str, list[str]]
     ) -> tuple[dict[str, Look], dict[str, _Count]]:
-        counts, looks = self._now_counts, {}
+        counts, looks, alive = self._now_counts, {}, set(living)
         for site, one in counts.items():
             others = [n for n, zone in enumerate(self.zones) if zone == site and n != self.me]
-            heard = len(self._heard[site] & set(living))
+            heard = len(self._heard[site] & alive)
             listed = len(workers.get(site, ()))
             self._listed[site] = max(self._listed[site], listed)
             looks[site] = Look(
@@ -276,6 +276,5 @@
     def _up(self, now: int, site: str, out: Out) -> None:
         if change := self.judge.returned(now, site):
             out.changes.append(change)
-            self._followers[site].after = self._followers[
-                site
-            ].token  # its words are of a return that is over
+            follower = self._followers[site]
+            follower.after = follower.token  # its words are of a return that is over
--- a/swiftwell/sites/judge.py
+++ b/swiftwell/sites/judge.py
@@ -108,7 +108,6 @@
 @dataclass(slots=True)
 class _Site:
     state: State = State.UP
-    since: int = 0
     bad_since: int = 0  # of windows without a good one; 0 none
     good_since: int = 0
     last: Look = field(default_factory=Look)
@@ -125,7 +124,7 @@
 
     def __init__(self, sites: tuple[str, ...], home: str, now: int) -> None:
         self.home = home
-        self.sites = {name: _Site(since=now) for name in sites}
+        self.sites = {name: _Site() for name in sites}
 
     def state(self, site: str) -> State:
         """What it is to us now."""
@@ -223,7 +222,7 @@
 
     def _set(self, now: int, name: str, one: _Site, state: State, why: str) -> Change:
         assert state in MOVES[one.state], (one.state, state)
-        was, one.state, one.since = one.state, state, now
+        was, one.state = one.state, state
         one.late.clear()
         if state in (State.UP, State.RETURNING):
             one.failed.clear()
--- a/swiftwell/standins/relay.py
+++ b/swiftwell/standins/relay.py
@@ -31,11 +31,6 @@
         """One-way: nothing that the others say reaches those."""
         self.cut |= {(i, j) for i in others for j in those if i != j}
 
-    def heal(self) -> None:
-        """No fault any more."""
-        self.cut.clear()
-        self.loss = self.twice = self.delay_s = 0.0
-
 
 class Relay:
     """Datagrams: one socket for each member; `ports[j]` is where the others find j, which listens at
--- a/swiftwell/starting/lists.py
+++ b/swiftwell/starting/lists.py
@@ -69,7 +69,7 @@
         self.reader = False  # our last question was answered, and nobody else has the reading
         self._round: tuple[int, int] = (-1, 0)  # edition, and when its silence began
         self._next_turn = 0
-        self.counts = dict.fromkeys(("turns", "answered", "lost", "gave-way", "alone"), 0)
+        self.counts = dict.fromkeys(("turns", "answered", "lost", "gave-way"), 0)
 
     def look(self, now: int, holds: bool, seen: Seen) -> Ask:
         """What we may do; `holds`: the board's lease is ours."""
--- a/swiftwell/starting/part.py
+++ b/swiftwell/starting/part.py
@@ -9,10 +9,9 @@
 
 import math
 
-WHOLE = 1_000_000  # parts that a budget has, as loans are told
-RISE_US = (
-    2_000_000  # us in which a part may double: the span of a cold worker's budget, by the usual settings
-)
+from swiftwell.fleet.shares import MILLION
+
+RISE_US = 2_000_000  # us in which a part may double: a cold worker's budget is usually counted over as long
 
 
 class Part:
@@ -33,4 +32,4 @@
 
 def routers(parts: float) -> int:
     """A part as a number of routers."""
-    return max(1, math.ceil(WHOLE / max(1.0, parts)))
+    return max(1, math.ceil(MILLION / max(1.0, parts)))
--- a/swiftwell/starting/plan.py
+++ b/swiftwell/starting/plan.py
@@ -1,7 +1,7 @@
 """What a start of many gateways asks of the list service and the workers, by their settings.  No I/O.
 
 Bounds, not means: each is what all of them together may do at most while they hear each other.  The measured
-days stand beside it in docs/cold-start.md.
+days stand in docs/performance.md.
 """
 
 from __future__ import annotations
@@ -18,7 +18,6 @@
 from swiftwell.starting.lists import ALONE_US, LEARN_US, SILENT_PERIODS
 
 START_CPU_S = 0.5  # s of processor time of one start, measured (docs/performance.md)
-ROW_BYTES = 45  # of a worker on a board: HOST:PORT, kind, zone, start
 LIST_S = 1.0  # s until the first answer has reached all of a zone: five rounds of a board, with losses
 
 
