Nothing owed is dropped at an ending: stop, links, list and turns

Found by reading beside it, mended at their places: attempts and orders left at the link when nobody wants them, leave to send not asked for again on a late connection, idle taken by the session alone, a watch that may end, a turn that loses its other inputs.

--- a/swiftwell/discovery/journal.py
+++ b/swiftwell/discovery/journal.py
@@ -11,6 +11,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from struct import Struct
 from typing import Any
@@ -163,6 +164,7 @@
 
     def __init__(self) -> None:
         self._of: dict[str, tuple[str, int]] = {}
+        self._draining: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._of)
@@ -177,10 +179,17 @@
             named = {worker.id for worker in event.workers}
             gone += [worker for worker in self._of if worker not in named]
         self._of |= {worker.id: worker.address for worker in event.workers}
+        for worker in event.workers:
+            (self._draining.add if worker.state is State.DRAINING else self._draining.discard)(worker.id)
         for worker in gone:
             self._of.pop(worker, None)
+            self._draining.discard(worker)
         return gone
 
+    def ready(self, worker: str) -> bool:
+        """Whether new work may go to a worker, by the last word of it."""
+        return worker in self._of and worker not in self._draining
+
 
 def members(event: Event, started: Callable[[float], int]) -> io.Members:
     """An event as the module takes it; `started` turns a start in Unix ms into the module's time."""
@@ -204,21 +213,30 @@
     ) -> None:
         self.at, self._frames, self._tell, self._log, self._chance = at, frames, tell, log, chance
         self.feed = Feed()
-        self.heard = 0.0  # monotonic s of the last whole frame
         self.connections = 0
         self._stream: IOStream | None = None
         self._failures = 0
+        self._moved = asyncio.Event()
 
     def start(self, events: Iterable[Event]) -> None:
-        """Take the events of a configuration; those already held are passed over."""
+        """Take the events of a configuration; those already held are passed over.
+
+        One that does not follow what is held ends it: its changes would be taken for a list that they are not
+        of, and the service tells all from the number held.
+        """
         for event in events:
-            if event.number > self.feed.held:
-                self.feed.held = event.number
+            try:
+                news = self.feed.take(event)
+            except FrameError as error:
+                self._log("warning", "journal-gap", why=str(error), held=self.feed.held)
+                return
+            if news:
                 self._tell(event)
 
     def move(self, at: tuple[str, int]) -> None:
         """The service has another address: ask there, from the last event held."""
         self.at, self._failures = at, 0
+        self._moved.set()  # also out of a rest between two tries: it was for the other address
         if self._stream:
             self._stream.close()
 
@@ -226,22 +244,29 @@
         """Until cancelled."""
         while True:
             began = time.monotonic()
-            why = await self._follow()
+            self._moved.clear()
+            try:
+                why = await self._follow()
+            except Exception as error:  # a watch that ended for good would be a list that never changes again
+                why = f"failed: {type(error).__name__}: {error}"
             lived = time.monotonic() - began
             self._failures = 0 if lived >= LIVED_S else self._failures + 1
             self._log("info", "journal-left", at=f"{self.at[0]}:{self.at[1]}", why=why, held=self.feed.held)
             wait = self._chance.uniform(*AGAIN_S) * 2 ** min(self._failures, 8)
-            await asyncio.sleep(min(wait, MOST_AGAIN_S))
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._moved.wait(), min(wait, MOST_AGAIN_S))
 
     async def _follow(self) -> str:
         """One connection, from the number held to its end; why it ended."""
         self.connections += 1
-        stream = self._stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        try:
+            stream = self._stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        except OSError as error:  # no descriptor: later there may be one
+            return f"{type(error).__name__}: {error}"
         try:
             await asyncio.wait_for(stream.connect(self.at), CONNECT_S)
             stream.set_nodelay(True)
             stream.write(self.feed.held.to_bytes(8, "big"))
-            self.heard = time.monotonic()
             return await self._read(stream, self._frames())
         except (OSError, TimeoutError, StreamClosedError) as error:
             return f"{type(error).__name__}: {error}"
@@ -253,18 +278,23 @@
                 self._stream = None
 
     async def _read(self, stream: IOStream, frames: Frames) -> str:
-        reading = None
+        reading, quiet, looked = None, 0.0, time.monotonic()
         try:
             while True:
                 reading = reading or asyncio.ensure_future(_some(stream))
                 done, _ = await asyncio.wait((reading,), timeout=LOOK_S)
+                # A stall of our own counts for one look, as what came meanwhile is read only after it.
+                now = time.monotonic()
+                quiet, looked = quiet + min(now - looked, LOOK_S), now
                 if done:
                     data, reading = reading.result(), None
-                    for event in frames.feed(data):
-                        self.heard = time.monotonic()
+                    events = frames.feed(data)
+                    if events:  # bytes of a frame that never completes are silence, too
+                        quiet = 0.0
+                    for event in events:
                         if event is not None and self.feed.take(event):
                             self._tell(event)
-                if time.monotonic() - self.heard > SILENT_S:
+                if quiet > SILENT_S:
                     return "silent"
         finally:
             if reading:
--- a/swiftwell/fronts/fastcgi/session.py
+++ b/swiftwell/fronts/fastcgi/session.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from swiftwell.fronts.fastcgi import codec
@@ -65,16 +66,26 @@
 
     def receive(self, data: bytes) -> list[Event]:
         """Take bytes; after `broken` nothing more is taken."""
-        events: list[Event] = []
+        return list(self.events(data))
+
+    def events(self, data: bytes) -> Iterator[Event]:
+        """As `receive`, but each event is its taker's before the next record is looked at.
+
+        An ABORT and a BEGIN that uses the number again may come in one read: the number is free only once
+        the abort has been answered, else the connection, with all that is open on it, would count as broken.
+        """
         if self.broken:
-            return events
-        self._stuck = 0
+            return
         try:
-            for kind, number, content in self._decoder.feed(data):
+            records = self._decoder.feed(data)
+            if records or not self._decoder.partial:
+                self._stuck = 0  # bytes alone are no progress: a record that trickles for ever never ends
+            for kind, number, content in records:
+                events: list[Event] = []
                 self._record(kind, number, content, events)
+                yield from events
         except FastcgiError as error:
             self.broken = str(error)
-        return events
 
     def _record(self, kind: int, number: int, content: bytes, events: list[Event]) -> None:
         if number == 0:
@@ -180,8 +191,8 @@
 
     @property
     def idle(self) -> bool:
-        """Nothing has begun and nothing is owed."""
-        return not self.open and not self._begun and not self._decoder.partial
+        """Nothing has begun, nothing is owed and nothing is left to say."""
+        return not self.open and not self._begun and not self._decoder.partial and not self.out
 
 
 REASONS = {
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -177,7 +177,7 @@
         if self._part_until and self._now >= self._part_until:
             self.divide_by(self._part_then)
         for given in inputs:
-            self._take(given)
+            self._guarded(self._take, given)
         due = self._wheel.due(self._now)
         tokens = [io.Timer(what[1]) for what in due if isinstance(what, tuple) and what[0] == self._books]
         late = min((self.router.due(event) for event in tokens), default=self._now)
@@ -191,10 +191,47 @@
         self._pump()
         for what in due:
             if not isinstance(what, tuple):
-                what()
+                self._guarded(what)
         self._pump()
         return self._out
 
+    def _guarded(self, act: Callable[..., None], *given: ports.Input) -> None:
+        """One failure is its own input's, timer's or action's: what else came in this turn is owed answers.
+
+        A step that raised took along every other input of its turn, and every output worked out before it.
+        """
+        try:
+            act(*given)
+        except Exception as error:
+            self.counts["faults"] += 1
+            what = type(given[0]).__name__ if given else getattr(act, "__name__", "timer")
+            self._log("error", "engine-failed", input=what, error=f"{type(error).__name__}: {error}")
+            for one in given:
+                self._answer_failed(one)
+
+    def _answer_failed(self, given: ports.Input | io.Action) -> None:
+        """What a failed input owed: its trigger, or its call, gets a final answer that promises nothing."""
+        if isinstance(given, ports.Arrive):
+            trigger = given.trigger
+            of = self._of.get(trigger.source, ())
+            call = next((self._calls[one] for one in of if self._calls[one].trigger is trigger), None)
+            replied = any(isinstance(out, ports.Reply) and out.trigger is trigger for out in self._out)
+            if call is None and not replied:
+                self._reply(trigger, Answer(Kind.FAILED, tr.MAY_HAVE_RUN))
+        elif isinstance(given, (ports.AttemptEnd, io.Send)):
+            call = self._calls.get(given.id)
+            if call and isinstance(given, ports.AttemptEnd) and given.number < len(call.attempts):
+                attempt = call.attempts[given.number]
+                self._at_work -= attempt.out
+                attempt.out = False
+                told = given.id, given.number, attempt.worker, Status.ERROR, 0, True, 0, ()
+                self._events.append(io.Outcome(*told))
+        else:
+            return
+        if call:
+            self._give_up(call)
+            self._drop(call)
+
     def _pump(self) -> None:
         """Give the module what waits, one event at a time, so that a failure concerns one event."""
         while self._events:
@@ -251,6 +288,8 @@
                 self._ledger_down(given.why)
             case ports.Stop():
                 self._stopping = True
+                if given.by_us:
+                    self._wheel.add(max(given.by_us, self._now + 1), self._answer_all)
 
     def _arrive(self, trigger: Trigger) -> None:
         self.counts["calls"] += 1
@@ -356,6 +395,11 @@
             self._log("warning", "guard", call=call.id, function=call.trigger.function)
         self._give_up(call)
 
+    def _answer_all(self) -> None:
+        """The process ends: who waits is told now what is known, as nobody could tell it later."""
+        for call in list(self._calls.values()):
+            self._guarded(lambda call=call: self._give_up(call))
+
     def _doubt(self, call: Call) -> Answer:
         return Answer(Kind.FAILED, tr.MAY_HAVE_RUN, attempts=len(call.attempts))
 
@@ -377,10 +421,26 @@
             self._awaiting.pop(call.awaits, None)
             call.awaits = 0
         elif not call.orphan:
-            self._events.append(io.Left(call.id))
+            # A client whose bytes and whose end came in one turn: the module need not hear of it at all.
+            unheard = [e for e in self._events if isinstance(e, io.Request) and e.id == call.id]
+            for event in unheard:
+                self._events.remove(event)
+            if not unheard:
+                self._events.append(io.Left(call.id))
         call.orphan = True
+        self._withdraw(call)
         self._drop(call)
 
+    def _withdraw(self, call: Call) -> None:
+        """Attempts that wait for a connection are taken back: nobody wants what they would bring.
+
+        The module only learns that the client left, and what it sent was the link's: one that waited for a
+        late connection went to its worker up to the dial time later, and twice that where it moved on.
+        """
+        for number, attempt in enumerate(call.attempts):
+            if attempt.out:
+                self._out.append(ports.Withdraw(call.id, number))
+
     def _durable(self, number: int) -> None:
         for key in [n for n in self._awaiting if n <= number]:
             call = self._awaiting.pop(key)
@@ -566,7 +626,7 @@
         except Exception as error:  # whatever it is, other calls must go on
             actions = self._fault(events, error)
         for act in actions:
-            self._act(act)
+            self._guarded(self._act, act)
 
     def _fault(self, events: list[io.Event], error: Exception) -> list[io.Action]:
         """The module failed: what it had decided before holds; the calls concerned are answered.
@@ -612,8 +672,9 @@
         self._books += 1
         self._log("error", "module-rebuilt", calls=len(self._calls))
         new = self.router = self._make(self._told, self._seed)
-        for _, _, timer, _, _ in self._orders.values():  # their answers would mean nothing to new books
+        for number, (_, _, timer, _, _) in self._orders.items():  # answers would mean nothing to new books
             self._wheel.cancel(timer)
+            self._out.append(ports.Recall(number))
         self._orders.clear()
         self._feed([io.Members(io.ListKind.FULL, tuple(self.list.entries()))])
         new.taken, new.orders, new.retries = old.taken, old.orders, old.retries
@@ -651,8 +712,9 @@
 
     def _send(self, act: io.Send) -> None:
         call = self._calls.get(act.id)
-        if call is None or call.settled:
-            # The module thinks it sent: without an outcome its books would hold the attempt for ever.
+        if call is None or call.settled or call.orphan:
+            # Answered, or left by its client.  The module thinks it sent: without an outcome its books would
+            # hold the attempt for ever.
             known = self.router.calls.get(act.id)
             number = len(known.attempts) - 1 if known else 0
             self._events.append(io.Outcome(act.id, number, act.worker, Status.MOOT, 0, True, 0, ()))
@@ -706,10 +768,14 @@
     def _ordered(self, number: int, worker: str, function: str, sent: int, due: int) -> None:
         timer = 0
         if due:
-            silent = ports.OrderEnd(number, Status.TIMEOUT, 0)
-            timer = self._wheel.add(due, lambda: self._order_ended(silent))
+            timer = self._wheel.add(due, lambda: self._order_silent(number))
         self._orders[number] = (worker, function, timer, sent, due)
 
+    def _order_silent(self, number: int) -> None:
+        """An order's time is up: one that still waits for a connection must not go out uncounted later."""
+        self._out.append(ports.Recall(number))
+        self._order_ended(ports.OrderEnd(number, Status.TIMEOUT, 0))
+
     # Another process goes on with what this one did (handover/state.py).
 
     @property
@@ -774,6 +840,7 @@
             self._forget_source(call, waiter)
             self._reply(waiter.trigger, answer)
         call.waiters = []
+        self._withdraw(call)
 
     def _drop(self, call: Call) -> None:
         """Forget a call once nothing of it is outstanding and nobody waits for it."""
--- a/swiftwell/gateway/ports.py
+++ b/swiftwell/gateway/ports.py
@@ -109,7 +109,13 @@
 
 
 class Stop(Struct, frozen=True):
-    """The gateway is told to end: nothing new is taken."""
+    """The gateway is told to end: nothing new is taken.
+
+    `by_us`: when every call that is still open gets its answer, whatever it waits for; 0 where each has all
+    of its own time.
+    """
+
+    by_us: int = 0
 
 
 Input = (
@@ -136,6 +142,22 @@
     status: Status
 
 
+class Withdraw(Struct, frozen=True):
+    """Nobody waits for a call any more: an attempt of which nothing was handed over yet is taken back.
+
+    Its `AttemptEnd` says that it never ran; one that was written is left as it is.
+    """
+
+    id: str
+    number: int
+
+
+class Recall(Struct, frozen=True):
+    """An order has ended in the engine: it is not sent any more, and its answer means nothing."""
+
+    number: int
+
+
 class Order(Struct, frozen=True):
     """Order copies at a worker; `copies` 0 asks only."""
 
@@ -187,4 +209,4 @@
     fields: tuple[tuple[str, object], ...] = ()
 
 
-Output = Start | Abandon | Order | Ask | Reply | Accepted | Write | AskList | Line
+Output = Start | Abandon | Withdraw | Recall | Order | Ask | Reply | Accepted | Write | AskList | Line
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -127,6 +127,8 @@
             known = self.engine.router.functions.get(out.function)
             holders = known.holding(self.clock.now_us()) if known else ()
             self.orders.order(out, len(holders))
+        elif isinstance(out, ports.Recall) and self.orders and self.orders.recall(out):
+            pass  # it had not gone out
         else:
             super()._carry(out)
 
--- a/swiftwell/gateway/turning.py
+++ b/swiftwell/gateway/turning.py
@@ -10,7 +10,7 @@
 from tornado.ioloop import IOLoop
 
 from swiftwell import interface as io
-from swiftwell.fronts.trigger import Trigger
+from swiftwell.fronts.trigger import Ran, Trigger
 from swiftwell.gateway import ports
 from swiftwell.gateway.clock import Clock
 from swiftwell.gateway.engine import Engine
@@ -97,6 +97,11 @@
         except Exception as error:  # one output's trouble is not the others'
             what = f"{type(error).__name__}: {error}"
             self.log("error", "output-failed", output=type(out).__name__, error=what)
+            # What was begun and failed half-way still ends in the engine's books, else its call stays there.
+            if isinstance(out, ports.Start):
+                self.put(ports.AttemptEnd(out.id, out.number, io.Status.ERROR, Ran.MAYBE))
+            elif isinstance(out, ports.Order):
+                self.put(ports.OrderEnd(out.number, io.Status.ERROR, 0))
 
     def _stepped(self) -> None:
         """After the outputs of a turn: what was gathered goes out."""
@@ -133,8 +138,12 @@
                 out.trigger.ref.connection[0].accepted(out.trigger)  # type: ignore[attr-defined]
             case ports.Abandon():
                 self.link.abandon(out)
+            case ports.Withdraw():
+                self.link.withdraw(out)
             case ports.Order():
                 self.link.order(out)
+            case ports.Recall():
+                self.link.recall(out)
             case ports.Ask():
                 self.link.ask(out)
             case ports.Line():
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -30,8 +30,11 @@
 TAKING_S = (
     0.75  # s after SIGTERM for which requests are taken: by 0.7 s the last has come, by the platform's word
 )
-QUIET_S = 0.05  # s without anything open after which a stopping router ends: its last answers have gone out
+QUIET_S = 0.05  # s between looks at what a stopping router owes; it ends once two in a row find nothing
 LONGEST_S = 3.0  # s: the longest deadline that the platform reckons with after SIGTERM
+LAST_S = 0.7  # s that it grants beyond that before SIGKILL: the time in which requests may still come
+ANSWER_S = 0.25  # s before SIGKILL at which every call gets its answer: for turns, ways and slow clients
+END_S = 0.05  # s before SIGKILL at which the process ends, whatever is left
 SWEEP_S = 0.5  # s between looks at old connections and orders
 LAG_S = 0.05  # s between two looks at the clock, for the lag of the loop
 FIGURES_S = 5.0  # s between two lines of figures
@@ -47,7 +50,7 @@
         share = divide(told.sockets)
         self.addresses = journal.Addresses()
         bounds = RespBounds(share.workers, told.streams, told.dial_us / 1e6, told.idle_us / 1e6)
-        self.link = RespLink(bounds, self.addresses.get, self.put, self.log)
+        self.link = RespLink(bounds, self.addresses.get, self.put, self.log, self.addresses.ready)
         contract = Contract.of(told.told)
         self.front = Listener(self, contract, share.clients, lambda: self.healthy)
         frames = lambda: journal.Frames(told.zones, told.kinds)  # noqa: E731
@@ -117,19 +120,42 @@
             self.log("info", "stopping", open=self.engine.open)
             self._tasks.append(asyncio.ensure_future(self._stop()))
 
+    def kill_s(self) -> float:
+        """Seconds after SIGTERM before which no SIGKILL comes, by the platform's word."""
+        longest = max(band.deadline_us for band in self.platform.told.classes) / 1e6
+        return min(longest, LONGEST_S) + LAST_S
+
     async def _stop(self) -> None:
+        """Answer all that was taken, then end; a failure of the one must not keep the other from happening.
+
+        Calls may have more time left than the platform gives us (deadlines over 3 s): these are answered with
+        what is known of them before SIGKILL.  It waited for its own cap and then ended with calls open.
+        """
         began = time.monotonic()
-        await asyncio.sleep(TAKING_S)
-        self.put(ports.Stop())  # refused from here on: harmless for the client, and it ends
-        while self.front.ids and time.monotonic() - began < TAKING_S + LONGEST_S:
-            await asyncio.sleep(QUIET_S)
-        await asyncio.sleep(QUIET_S)
-        for tick in self._ticks:
-            tick.stop()
-        self.front.close()
-        self.link.close()
-        self._figures()
-        self.log("info", "stopped")
+        until = began + self.kill_s()
+        try:
+            await asyncio.sleep(TAKING_S)
+            # Refused from here on: harmless for the client, and it ends.
+            left = max(0.0, until - ANSWER_S - time.monotonic())
+            self.put(ports.Stop(self.clock.now_us() + int(left * 1e6)))
+            quiet = 0
+            while quiet < 2 and time.monotonic() < until - END_S:
+                await asyncio.sleep(QUIET_S)
+                quiet = 0 if self.front.owes() else quiet + 1
+            await self.front.shut(until - END_S)
+        except Exception as error:
+            self.log("error", "stop-failed", error=f"{type(error).__name__}: {error}")
+        finally:
+            self._end()
+
+    def _end(self) -> None:
+        """The end of the process, each part of it whatever became of the others."""
+        for end in (*(tick.stop for tick in self._ticks), self.front.close, self.link.close, self._figures):
+            try:
+                end()
+            except Exception as error:
+                self.log("error", "end-failed", error=f"{type(error).__name__}: {error}")
+        self.log("info", "stopped", open=self.engine.open, owed=len(self.front.ids))
         self.ended.set()
 
     def _sweep(self) -> None:
--- a/swiftwell/starting/orders.py
+++ b/swiftwell/starting/orders.py
@@ -43,6 +43,13 @@
         copies = end.copies if end.status is Status.OK else 0
         self._carry(self.copies.ended(self._link.now_us(), end.number, copies))
 
+    def recall(self, act: ports.Recall) -> bool:
+        """An order whose time is up in the engine goes out no more; whether it was still here."""
+        here = act.number in self._held
+        if here:
+            self.ended(ports.OrderEnd(act.number, Status.TIMEOUT, 0))
+        return here
+
     def look(self) -> None:
         """Now and then."""
         self._carry(self.copies.step(self._link.now_us(), self._living()))
--- a/swiftwell/workers/link.py
+++ b/swiftwell/workers/link.py
@@ -189,6 +189,19 @@
         if job:
             self._stop(job, act.status)
 
+    def withdraw(self, act: ports.Withdraw) -> None:
+        """Take back an attempt that waits for a connection."""
+        job = self._jobs.get((act.id, act.number))
+        if job and not job.written:
+            self._stop(job, Status.MOOT)
+
+    def recall(self, act: ports.Recall) -> None:
+        """Forget an order that waits for a connection: it has ended in the engine's books."""
+        for job in [
+            job for job, of in self.others.items() if of == ("order", act.number) and not job.written
+        ]:
+            self._stop(job, Status.MOOT)
+
     def order(self, act: ports.Order) -> None:
         """Send an order to load, or a question."""
         request = protocol.hold(self._gateway, act.worker, act.function, act.copies, act.memory_mb, act.lanes)
--- a/swiftwell/workers/resp/codec.py
+++ b/swiftwell/workers/resp/codec.py
@@ -146,7 +146,7 @@
 
 def run(id_: bytes, band: str, function: str, left_us: int, body: bytes) -> bytes:
     """The command that runs a call."""
-    told = b"lane=%b,name=%b,ttl=%d" % (band.encode(), function.encode(), max(1, left_us // 1_000))
+    told = b"lane=%b,name=%b,ttl=%d" % (band.encode(), function.encode(), max(1, -(-left_us // 1_000)))
     return command(b"FN", id_, told, body)
 
 
--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -18,6 +18,7 @@
 
 READ_BYTES = 16_384  # bytes taken in at once: an answer has some hundreds
 MOST_UNSENT = 1 << 20  # bytes that may wait for a worker that does not read
+AGAIN_S = 0.01  # s until a connection whose kernel buffer is full is tried again
 MOST_KNOWN = 256  # ids remembered, so that a late answer is no other attempt's: some seconds' worth
 
 
@@ -31,10 +32,12 @@
     answered: Callable[[Answer], None]  # raises RespError on an answer that can't be one
     ended: Callable[[Status, Ran], None]  # without an answer
     gives_up: bool  # whether the worker can be told that it is given up
+    again: Callable[[], bytes]  # its bytes if it may still go now, some time after it was put; else none
     connection: Connection | None = None
     written: bool = False
     moved: bool = False  # its first connection ended before anything was written
     over: bool = False
+    waited: bool = False  # its leave to send is of an earlier turn
     began: float = 0.0
 
 
@@ -47,6 +50,10 @@
     def dirty(self, connection: Connection) -> None:
         """Something is to be written at the end of the turn."""
 
+    def leave(self, connection: Connection) -> bool:
+        """Whether new work may still go to a connection's worker, and there."""
+        ...
+
 
 class Connection:
     """Opened at once; what is put on it while it comes up is written then."""
@@ -61,6 +68,7 @@
         self.used, self.heard = time.monotonic(), 0.0  # heard: bytes of the worker's
         self._parser = Parser()
         self._out: list[tuple[bytes, Job | None]] = []  # what waits to be written, and whose request it is
+        self._blocked = False  # the kernel took no more: what waits is tried again later
         self._stream = IOStream(
             socket.socket(socket.AF_INET, socket.SOCK_STREAM),
             max_buffer_size=READ_BYTES * 4,
@@ -87,6 +95,8 @@
             self.failure, self.reset = repr(cause), isinstance(cause, ConnectionResetError)
         except RespError as error:
             why = str(error)
+        except Exception as error:  # no end of it may go unseen: its jobs are ended below, the cause is told
+            why = f"{type(error).__name__}: {error}"
         finally:
             self._end(why)
 
@@ -97,25 +107,91 @@
         self.jobs[job.id] = job
         self.known[job.id] = None
         if len(self.known) > MOST_KNOWN:
-            del self.known[next(iter(self.known))]
+            # Never one that is open: a second attempt under its id would take its place here.
+            oldest = next((one for one in self.known if one not in self.jobs), None)
+            if oldest is not None:
+                del self.known[oldest]
+        job.waited |= not self.up or self._blocked
         self._out.append((job.data, job))
         if self.up:
             self.owner.dirty(self)
 
     def flush(self) -> None:
-        """Hand what was gathered to the kernel, in one write."""
-        if self.over or not self.up or not self._out:
+        """Hand what was gathered to the kernel, in one write, and know how far that came.
+
+        What the kernel does not take stays here and not in the stream's buffer, where nothing could be taken
+        back: a worker that stands still and wakes would run what its clients gave up long ago.  Only the
+        command that is cut in two goes to the stream, as the worker has its first half already.
+        """
+        if self.over or not self.up or self._blocked or not self._out or self._stream.closed():
+            return
+        out = self._leave()
+        whole = b"".join([data for data, _ in out])
+        if not whole:
             return
-        out, self._out = self._out, []
         try:
-            self._stream.write(b"".join([data for data, _ in out]))
-        except (StreamClosedError, StreamBufferFullError):  # nothing was handed over
-            self._stream.close()
+            sent = self._stream.write_to_fd(memoryview(whole))
+        except BlockingIOError:
+            sent = 0
+        except OSError:  # nothing was handed over
+            self._stream.close(exc_info=True)
             return
-        for _, job in out:
+        if sent < len(whole):
+            self._keep(out, sent)
+        for data, job in out:
+            if sent <= 0:
+                break
+            sent -= len(data)
             if job is not None:
                 job.written = True
 
+    def _leave(self) -> list[tuple[bytes, Job | None]]:
+        """What may go out now.  Leave that was given in an earlier turn is asked for again.
+
+        While a connection came up, or was full, the time may have run out, and the worker may have begun to
+        drain, have gone, or have left its address to another.
+        """
+        found, self._out = self._out, []
+        if not any(job is not None and job.waited for _, job in found):
+            return found
+        out, leave = [], self.owner.leave(self)
+        for data, job in found:
+            if job is not None and job.waited:
+                data = job.again() if leave else b""
+                if not data:
+                    del self.jobs[job.id]
+                    job.over, job.connection = True, None
+                    job.ended(Status.MOOT, Ran.NEVER)
+                    continue
+            out.append((data, job))
+        return out
+
+    def _keep(self, out: list[tuple[bytes, Job | None]], sent: int) -> None:
+        """The kernel took only so many bytes."""
+        self._blocked = True
+        cut, gone = sent, 0  # bytes of the one that is cut, and how many went whole
+        while cut >= len(out[gone][0]):
+            cut -= len(out[gone][0])
+            gone += 1
+        rest = out[gone + (cut > 0) :]
+        for _, job in rest:
+            if job is not None:
+                job.waited = True
+        self._out = rest + self._out
+        if cut:
+            try:
+                self._stream.write(out[gone][0][cut:]).add_done_callback(self._unblock)
+            except (StreamClosedError, StreamBufferFullError):
+                self._stream.close()
+        else:
+            asyncio.get_running_loop().call_later(AGAIN_S, self._unblock)
+
+    def _unblock(self, written: asyncio.Future[None] | None = None) -> None:
+        if written is not None and not written.cancelled():
+            written.exception()  # the stream's end is the reader's matter
+        self._blocked = False
+        self.flush()
+
     def _answer(self, answer: Answer) -> None:
         job = self.jobs.get(answer[0])
         if job is None:
@@ -128,7 +204,7 @@
         """Nothing more is wanted of a job."""
         del self.jobs[job.id]
         if not job.written:
-            self._out.remove((job.data, job))
+            self._out = [one for one in self._out if one[1] is not job]
             return
         if self.heard < job.began:
             self.doubted = True  # silent ever since it was sent: nothing new goes here
@@ -147,5 +223,5 @@
         self._stream.close()
         if not self.opened.done():
             self.opened.set_result(False)
-        jobs, self.jobs = list(self.jobs.values()), {}
+        jobs, self.jobs, self._out = list(self.jobs.values()), {}, []
         self.owner.closed(self, why, jobs)
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -48,7 +48,8 @@
 class RespLink:
     """All connections to workers.
 
-    `address` says where a worker is; `put` takes what happened to the engine.
+    `address` says where a worker is; `put` takes what happened to the engine; `ready` says whether new work
+    may still go to a worker.
     """
 
     def __init__(
@@ -57,8 +58,9 @@
         address: Callable[[str], tuple[str, int] | None],
         put: Callable[[ports.Input], None],
         log: Callable[..., None],
+        ready: Callable[[str], bool] = lambda worker: True,
     ) -> None:
-        self._bounds, self._address, self._put, self._log = bounds, address, put, log
+        self._bounds, self._address, self._put, self._log, self._ready = bounds, address, put, log, ready
         self._workers: dict[str, _Worker] = {}
         self._jobs: dict[tuple[str, int], Job] = {}
         self._orders: dict[int, Job] = {}
@@ -84,18 +86,38 @@
             end(v.status, v.ran, answer[3] if v.status is Status.OK else b"", v.found, v.crowd)
 
         id_ = trigger.key.encode()
+
+        def words() -> bytes:
+            left = act.left_us - int((time.monotonic() - began) * 1e6)
+            return codec.run(id_, trigger.band, trigger.function, left, trigger.payload) if left > 0 else b""
+
         data = codec.run(id_, trigger.band, trigger.function, act.left_us, trigger.payload)
-        job = Job(act.worker, id_, data, answered, end, True, began=began)
+        job = Job(act.worker, id_, data, answered, end, True, words, began=began)
         self._jobs[key] = job
         self._begin(job)
 
     def abandon(self, act: ports.Abandon) -> None:
         """Stop waiting for an attempt."""
         job = self._jobs.get((act.id, act.number))
-        if job and not job.over:
+        if job is None:  # whatever became of it, its call must not wait for ever
+            self._put(ports.AttemptEnd(act.id, act.number, act.status, Ran.MAYBE))
+        elif not job.over:
             self._give_up(job)
             job.ended(*((act.status, Ran.MAYBE) if job.written else (Status.MOOT, Ran.NEVER)))
 
+    def withdraw(self, act: ports.Withdraw) -> None:
+        """Take back an attempt that waits for a connection, or for its worker to be judged."""
+        job = self._jobs.get((act.id, act.number))
+        if job and not job.over and not job.written:
+            self._give_up(job)
+            job.ended(Status.MOOT, Ran.NEVER)
+
+    def recall(self, act: ports.Recall) -> None:
+        """Forget an order: its time is up in the engine's books, where it has ended."""
+        job = self._orders.pop(act.number, None)
+        if job and not job.over:
+            self._give_up(job)
+
     def order(self, act: ports.Order) -> None:
         """Send an order to load, or a question."""
         number, began = act.number, time.monotonic()
@@ -111,7 +133,7 @@
 
         tag = b"o%d" % number
         data = codec.hold(tag, act.function, act.copies)
-        job = Job(act.worker, tag, data, answered, end, False, began=began)
+        job = Job(act.worker, tag, data, answered, end, False, lambda: data, began=began)
         self._orders[number] = job
         self._begin(job)
 
@@ -222,7 +244,7 @@
             if job.over:  # given up meanwhile
                 continue
             if lives and not job.written and not job.moved:
-                job.moved = True
+                job.moved = job.waited = True
                 self._begin(job)
                 continue
             job.over = True
@@ -232,6 +254,11 @@
                 job.ended(Status.MOOT if lives else Status.CONNECT_FAILED, Ran.NEVER)
         self.flush()  # no turn of the engine need follow
 
+    def leave(self, connection: Connection) -> bool:
+        """Whether new work may still go to a connection's worker, and there."""
+        worker = connection.worker
+        return self._address(worker) == connection.address and self._ready(worker)
+
     def dirty(self, connection: Connection) -> None:
         """Something is to be written at the end of the turn."""
         self._dirty[connection] = None
