--- a/swiftwell/discovery/journal.py
+++ b/swiftwell/discovery/journal.py
@@ -292,8 +292,13 @@
                     if events:  # bytes of a frame that never completes are silence, too
                         quiet = 0.0
                     for event in events:
+                        held = self.feed.held
                         if event is not None and self.feed.take(event):
-                            self._tell(event)
+                            try:
+                                self._tell(event)
+                            except Exception:  # it was not taken: it is to be told again
+                                self.feed.held = held
+                                raise
                 if quiet > SILENT_S:
                     return "silent"
         finally:
--- a/swiftwell/fronts/fastcgi/listener.py
+++ b/swiftwell/fronts/fastcgi/listener.py
@@ -319,24 +319,28 @@
 
     def owes(self) -> bool:
         """Whether anything is owed to any client, also on connections that were not looked at yet."""
-        self._take_waiting()
+        if self._take_waiting():
+            return True
         return not all(one.idle for one in self.connections) or any(
             one.stream.writing() for one in self.ending
         )
 
-    def _take_waiting(self) -> None:
+    def _take_waiting(self) -> bool:
         """Connections that the machine accepted for us: closing the listener would reset them."""
+        found = False
         for listening in self._sockets.values():
             while True:
                 try:
                     connected, address = listening.accept()
                 except OSError:  # none waits
                     break
+                found = True
                 connected.setblocking(False)
                 stream = IOStream(connected, max_buffer_size=2 * READ_BYTES, read_chunk_size=READ_BYTES)
                 task = asyncio.ensure_future(self.handle_stream(stream, address))
                 self._handling.add(task)
                 task.add_done_callback(self._handling.discard)
+        return found
 
     async def shut(self, until: float) -> None:
         """End all connections by draining them; by `until`, monotonic s, whatever their clients do."""
--- a/swiftwell/fronts/fastcgi/request.py
+++ b/swiftwell/fronts/fastcgi/request.py
@@ -16,6 +16,7 @@
 MOST_LOAD_MS = 600_000.0  # ms of a load, likewise
 MOST_LANES = 64  # lanes of a function; machines have some cores
 MOST_MEMORY_MB = 1_048_576.0  # MB, where the settings tell of no machine
+_TOKEN = re.compile(rb"[0-9A-Za-z._-]{1,64}").fullmatch  # passed on as it is, so nothing that ends a field
 _HEX = re.compile(rb"[0-9a-f]{16}").fullmatch
 _NUMBER = re.compile(
     rb"[0-9]{1,15}(\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?"
@@ -53,8 +54,10 @@
     return fields.get(b"SCRIPT_NAME", b"")
 
 
-def _number(name: str, text: bytes | None, least: float, most: float) -> float:
+def _number(name: str, text: bytes | None, least: float, most: float, default: float | None = None) -> float:
     if text is None:
+        if default is not None:
+            return default
         raise Turned(400, f"{name} is missing")
     if not _NUMBER(text):
         raise Turned(400, f"{name} is no number")
@@ -79,7 +82,7 @@
 
 def _tags(text: bytes | None) -> dict[bytes, bytes]:
     found: dict[bytes, bytes] = {}
-    for part in (text or b"").split(b";"):
+    for part in () if text is None else text.split(b";"):
         name, sign, value = part.partition(b":")
         if not sign or name in found:
             raise Turned(400, "X-Tags can't be read")
@@ -88,7 +91,11 @@
 
 
 def read(fields: dict[bytes, bytes], body: bytes, contract: Contract, source: str, ref: object) -> Trigger:
-    """Raises Turned."""
+    """Raises Turned.
+
+    What only tells more of a request may be absent: not every deployment's clients give hints.  Each request
+    of one without them was turned away, as `Req-Cost` had been there wherever the router had been.
+    """
     at = path(fields)
     if not at.startswith(PATH):
         raise Turned(404, "no such path")
@@ -106,14 +113,18 @@
     )
     deadline_ms = contract.deadlines_us[band] / 1_000
     wait = _number("Req-Wait-Ms", fields.get(b"HTTP_REQ_WAIT_MS"), 0.001, MOST_WAIT_DEADLINES * deadline_ms)
-    cost = _number("Req-Cost", fields.get(b"HTTP_REQ_COST"), 0.0, MOST_COST_MS)
+    cost = _number("Req-Cost", fields.get(b"HTTP_REQ_COST"), 0.0, MOST_COST_MS, 0.0)
+    token = fields.get(b"HTTP_REQ_TOKEN", b"")
+    if token and not _TOKEN(token):
+        raise Turned(400, "Req-Token can't be passed on")
     tags = _tags(fields.get(b"HTTP_X_TAGS"))
-    memory = _number("memory_mb", tags.get(b"memory_mb"), 0.0, contract.memory_mb)
-    lanes = _number("lanes", tags.get(b"lanes"), 1, MOST_LANES)
-    load = _number("load_ms", tags.get(b"load_ms", b"0"), 0.0, MOST_LOAD_MS)
+    memory = _number("memory_mb", tags.get(b"memory_mb"), 0.0, contract.memory_mb, 0.0)
+    lanes = _number("lanes", tags.get(b"lanes"), 1, MOST_LANES, 1.0)
+    load = _number("load_ms", tags.get(b"load_ms"), 0.0, MOST_LOAD_MS, 0.0)
     if lanes != int(lanes):
         raise Turned(400, "lanes is no whole number")
     return Trigger(
         source, ref, band, owner, function, id_, body, int(wait * 1_000),
+        again=fields.get(b"HTTP_REQ_RETRY") == b"1", token=token.decode(),
         memory_mb=memory, lanes=int(lanes), hint_us=int(cost * 1_000), load_us=int(load * 1_000),
     )  # fmt: skip
--- a/swiftwell/fronts/trigger.py
+++ b/swiftwell/fronts/trigger.py
@@ -57,6 +57,7 @@
     lanes: int = 1
     hint_us: int = 0
     load_us: int = 0
+    token: str = ""  # under which workers drop repeats, where the publisher names it apart from `key`
 
 
 @dataclass(frozen=True, slots=True)
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -66,7 +66,7 @@
         self._orders: dict[int, Job] = {}
         self._dirty: dict[Connection, None] = {}
         self._tasks: set[asyncio.Task] = set()
-        self.open = 0
+        self.open, self._closed = 0, False
         self._earned = 0.0  # connections that may be opened beside one of the same worker that would do
         self.counts = dict.fromkeys(("opened", "spoilt", "ended", "refused"), 0)
 
@@ -89,10 +89,12 @@
 
         def words() -> bytes:
             left = act.left_us - int((time.monotonic() - began) * 1e6)
-            return codec.run(id_, trigger.band, trigger.function, left, trigger.payload) if left > 0 else b""
+            return data(left) if left > 0 else b""
 
-        data = codec.run(id_, trigger.band, trigger.function, act.left_us, trigger.payload)
-        job = Job(act.worker, id_, data, answered, end, True, words, began=began)
+        def data(left_us: int) -> bytes:
+            return codec.run(id_, trigger.band, trigger.function, left_us, trigger.payload, trigger.token)
+
+        job = Job(act.worker, id_, data(act.left_us), answered, end, True, words, began=began)
         self._jobs[key] = job
         self._begin(job)
 
@@ -215,6 +217,8 @@
                 del self._workers[connection.worker]
         for job in jobs:
             job.connection = None
+        if self._closed:
+            return
         if why:
             self._lost(jobs, lives=True)
         elif not connection.up and not connection.reset:  # refused, or nobody there
@@ -300,6 +304,7 @@
         }
 
     def close(self) -> None:
-        """End everything."""
+        """End everything; no worker is judged any more, as that would open connections anew."""
+        self._closed = True
         for task in list(self._tasks):
             task.cancel()
--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -194,9 +194,20 @@
     {"HTTP_X_TAGS": "memory_mb:-1;lanes:1"}, {"HTTP_X_TAGS": "memory_mb:1;memory_mb:1;lanes:1"},
     {"SCRIPT_NAME": "/api/v2/nothing"}, {"SCRIPT_NAME": "/"}, {"SCRIPT_NAME": None},
     {"CONTENT_LENGTH": "5"}, {"CONTENT_LENGTH": "-1"}, {"CONTENT_LENGTH": "99999999999999"},
+    {"HTTP_REQ_TOKEN": "a,name=b"}, {"HTTP_REQ_TOKEN": "x" * 65}, {"HTTP_REQ_TOKEN": "a b"},
 ]  # fmt: skip
 
 
+def test_a_deployment_whose_clients_give_no_hints_is_served_and_marks_and_tokens_pass():
+    # Every request without Req-Cost was turned away: one deployment's clients always send it.
+    found = raw(HTTP_REQ_COST=None, HTTP_X_TAGS=None, HTTP_REQ_RETRY="1", HTTP_REQ_TOKEN="6b037a6fa73e6f4d")
+    trigger = rq.read(found, b"1234", CONTRACT, "1/1", None)
+    assert (trigger.hint_us, trigger.memory_mb, trigger.lanes, trigger.load_us) == (0, 0.0, 1, 0)
+    assert trigger.again and trigger.token == "6b037a6fa73e6f4d"
+    usual = rq.read(raw(), b"1234", CONTRACT, "1/1", None)
+    assert not usual.again and usual.token == ""
+
+
 @pytest.mark.parametrize("wrong", WRONG, ids=str)
 def test_fields_that_cannot_be_used_are_turned_away(wrong):
     found = raw(**wrong)
