--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -378,6 +378,9 @@
                 note = event.note & 7  # 0 where answers don't tell, 1 where a copy stood
                 if note == 1 or not (attempt.cold or note):
                     self._timed(attempt, event.latency_us)
+                elif attempt.before:  # a new version of what was warm had to load: no sign of a slow worker
+                    pace, cap = attempt.before
+                    worker.pace, worker.cap = min(worker.pace, pace), max(worker.cap, cap)
             case Status.FULL:
                 worker.full_until = now + FULL_US
                 if attempt.cold:  # nothing shows that a copy stands or comes
@@ -438,6 +441,7 @@
         # Else a few answers that never come close every worker, and raise the time at which one is late.
         overtaken = attempt.worker.answered > attempt.sent
         if not attempt.cold and not overtaken:
+            attempt.before = attempt.before or (self._pace(attempt.worker), attempt.worker.cap)
             self._timed(attempt, self.now - attempt.sent)
         if call.held or call.band.effect is Effect.UNSAFE or len(call.attempts) >= told.max_attempts:
             return
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -110,6 +110,7 @@
     cold: bool
     out: bool = True
     maybe_ran: bool = True  # until its outcome proves otherwise
+    before: tuple[float, float] | None = None  # its worker's pace and cap before it was seen to be late
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -455,6 +455,20 @@
     assert only(bench.call("g"), io.Send)
 
 
+@pytest.mark.parametrize("note", [2, 3])
+def test_a_new_version_of_a_warm_copy_that_had_to_load_makes_nobody_slow(note: int) -> None:
+    bench = Bench(workers=("a",))
+    (first,) = only(bench.call(), io.Send)
+    bench.answer(first)  # a copy stands
+    worker = bench.router.workers["a"]
+    pace, cap = worker.pace, worker.cap
+    (send,) = only(bench.call(), io.Send)
+    bench.wait(1_500_000)  # late: for all that is known the worker is slow
+    assert worker.pace > pace and worker.cap < cap
+    bench.do(io.Outcome(send.id, 0, "a", Status.OK, 1_500_000, True, note, ()))
+    assert worker.pace <= pace and worker.cap >= cap
+
+
 @pytest.mark.parametrize("slow", [150_000, 600_000, 1_100_000])
 def test_the_only_worker_gets_every_call_whatever_its_pace_looks_like(slow: int) -> None:
     """A draw against the median of one second ago kept calls from the only worker until they were refused.
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,44 @@
+"""The list of tests that are known to fail: strict, short, and of no use to hide anything else."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from conftest import FILE, known_red
+
+
+@pytest.mark.parametrize(
+    "text, place",
+    [
+        ("tests/a.py::b | cause", ":1: expected TEST"),
+        ("tests/a.py::b | cause | 1\n\n", ":2: expected TEST"),
+        ("tests/a.py | cause | 1", ":1: expected TEST"),
+        ("tests/a.py::b | cause | one", ":1: expected TEST"),
+        ("tests/a.py::b | c | 1\ntests/a.py::b | c | 1", ":2: expected each test once"),
+        ("".join(f"tests/a.py::b{n} | c | 1\n" for n in range(4)), ":4: expected 3 lines at most"),
+    ],
+)
+def test_what_cannot_be_used_is_an_error_with_its_place(text, place):
+    with pytest.raises(ValueError, match=f"{FILE}{place}"):
+        known_red(text)
+
+
+def test_a_known_failure_is_passed_over_and_printed_and_one_that_passes_fails(tmp_path):
+    (tmp_path / "conftest.py").write_text(Path(__file__).with_name("conftest.py").read_text())
+    (tmp_path / "pytest.ini").write_text("[pytest]\ntestpaths = test_it.py\n")
+    (tmp_path / "test_it.py").write_text("def test_red():\n    assert False\n\ndef test_green():\n    pass\n")
+
+    def played(line):
+        (tmp_path / FILE).write_text(line)
+        words = [sys.executable, "-B", "-m", "pytest", "-q", "-p", "no:cacheprovider"]
+        return subprocess.run(words, cwd=tmp_path, capture_output=True, text=True, timeout=60)
+
+    done = played("test_it.py::test_red | a planted one | 34\n")
+    assert done.returncode == 0 and "known red: test_it.py::test_red | a planted one | 34" in done.stdout
+    assert played("").returncode == 1
+    assert played("test_it.py::test_red | c | 1\ntest_it.py::test_green | c | 1\n").returncode == 1
+    done = played("test_it.py::test_gone | c | 1\n")
+    assert done.returncode == 2 and f"{FILE}: expected tests that exist" in done.stdout + done.stderr
+    done = played("rubbish\n")
+    assert done.returncode == 2 and f"{FILE}:1: expected" in done.stdout + done.stderr
