--- a/swiftwell/handover/snapshot.py
+++ b/swiftwell/handover/snapshot.py
@@ -79,6 +79,7 @@
     cold: bool = False
     out: bool = False
     maybe_ran: bool = True
+    before: tuple[float, float] | None = None
 
 
 class CallBooks(msgspec.Struct):
@@ -238,7 +239,8 @@
     for call in router.calls.values():
         request = call.request._asdict()
         attempts = [
-            AttemptBooks(a.worker.entry.worker, a.sent, a.cold, a.out, a.maybe_ran) for a in call.attempts
+            AttemptBooks(a.worker.entry.worker, a.sent, a.cold, a.out, a.maybe_ran, a.before)
+            for a in call.attempts
         ]
         out.calls.append(
             CallBooks(
@@ -345,7 +347,7 @@
         if worker is None:  # it was forgotten: nothing of ours is out there
             entry = io.WorkerEntry(a.worker, State.GONE, "", 1.0, 0, "", 0)
             worker = rec.Worker(entry, 0, 0, math.inf, FIRST_CAP)
-        call.attempts.append(rec.Attempt(call, number, worker, a.sent, a.cold, a.out, a.maybe_ran))
+        call.attempts.append(rec.Attempt(call, number, worker, a.sent, a.cold, a.out, a.maybe_ran, a.before))
     router.calls[request.id] = call
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -655,7 +655,12 @@
 
 def test_a_start_that_fails_half_way_ends_its_attempt(tmp_path):
     async def main():
-        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+        long = patient(deadline_ms=60_000.0)  # far beyond the test: no time-out of the call's ends it instead
+        async with (
+            Worker(echo) as worker,
+            router(tmp_path, [worker.port], settings=long) as node,
+            Front(node.port) as front,
+        ):
             start, failed = node.link.start, []
 
             def once_wrong(act):
@@ -665,8 +670,8 @@
                 start(act)
 
             node.link.start = once_wrong
-            assert (await front.ask(1, fields(id_(1), "consigna")))[0] == 502  # it may have gone out
-            assert (await front.ask(2, fields(id_(2))))[0] == 200
+            assert (await front.ask(1, fields(id_(1), "consigna", wait="60000")))[0] == 502  # it may have run
+            assert (await front.ask(2, fields(id_(2), wait="60000")))[0] == 200
             await until(lambda: node.engine.open == 0)
 
     run(main())
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -360,6 +360,30 @@
     assert play.engine.router.woke == play.now
 
 
+def test_a_held_call_whose_client_left_is_not_sent_in_the_turn_that_made_room():
+    play = Play(replace(SETTINGS, second_copies=False), workers=("a",))
+    first = only(play.call(), ports.Start)[0]
+    play.engine.router.workers["a"].cap = 1.0  # no room beside it
+    assert not only(play.call(source="m:2"), ports.Start) and play.engine.open == 2
+    done = ports.AttemptEnd(first.id, first.number, Status.OK, Ran.YES, b"42", 50_000)
+    out = play.do(done, ports.Gone("m:2"))  # room, which the module is told of first, and the client's end
+    assert only(out, ports.Reply) and not only(out, ports.Start)
+    play.wait(3_000_000)
+    assert play.engine.open == 0 and tables(play.engine)["module_calls"] == 0
+
+
+def test_a_further_attempt_of_a_call_whose_client_left_is_not_sent():
+    play = Play()
+    start = only(play.call(), ports.Start)[0]
+    out = play.do(ports.Gone("m:1"))
+    assert only(out, ports.Withdraw) == [ports.Withdraw(start.id, start.number)]
+    play.engine._out = []
+    play.engine._act(io.Send(start.id, "b", 0))  # as a module does that has not heard of it yet
+    assert not only(play.engine._out, ports.Start)
+    play.end(start, Status.MOOT)
+    assert play.engine.open == 0
+
+
 def test_outcome_and_proof_must_agree():
     play = Play()
     start, other = (only(play.call(function=one), ports.Start)[0] for one in "fg")
