--- a/swiftwell/discovery/journal.py
+++ b/swiftwell/discovery/journal.py
@@ -109,6 +109,7 @@
     def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
         self._zones, self._kinds = zones, kinds
         self._rest = bytearray()
+        self.told = 0  # number of the last event, by the last empty frame
 
     def feed(self, data: bytes) -> list[Event | None]:
         """Raises FrameError."""
@@ -124,6 +125,7 @@
             if len(rest) < 4 + length:
                 break
             if kind == NOTHING:
+                self.told = number
                 found.append(None)
             else:
                 records = _RECORD.iter_unpack(bytes(rest[_HEAD.size : 4 + length]))
@@ -217,6 +219,7 @@
         self._stream: IOStream | None = None
         self._failures = 0
         self._moved = asyncio.Event()
+        self._missed = 0  # number up to which events were missed and asked for again
 
     def start(self, events: Iterable[Event]) -> None:
         """Take the events of a configuration; those already held are passed over.
@@ -299,6 +302,11 @@
                             except Exception:  # it was not taken: it is to be told again
                                 self.feed.held = held
                                 raise
+                # "Nothing new" after an event that never came: a watch that only sounds alive.  Asked anew
+                # once for each such number, as the page does not say that an empty frame's number means it.
+                if frames.told > max(self.feed.held, self._missed):
+                    self._missed = frames.told
+                    return f"events up to {frames.told} are missing"
                 if quiet > SILENT_S:
                     return "silent"
         finally:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -617,6 +617,24 @@
     run(main())
 
 
+def test_empty_frames_that_tell_of_events_that_never_came_are_asked_about_once():
+    async def main():
+        async def serve(service, number, writer):
+            if len(service.asked) == 1:
+                writer.write(frame(3))
+            elif len(service.asked) == 2:
+                writer.write(frame(3) + frame(3) + frame(2, 2, [(7, 80, 0)]))
+                await until(lambda: told)
+                writer.write(frame(3) + frame(3, 2, [(7, 80, 1)]))
+
+        told = []
+        async with Journal(serve) as service, Following(service.port, told.append) as one:
+            await until(lambda: len(told) == 2)
+            assert service.asked == [1, 1] and one.client.feed.held == 3
+
+    run(main())
+
+
 def test_known_events_with_a_gap_are_left_to_the_service():
     told, lines = [], []
     client = Client((HOST, 1), _frames, told.append, lambda *a, **f: lines.append(f), random.Random(1))
