--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import re
 
 import pytest
 
@@ -49,7 +50,10 @@
     lines = [line for path in logs for line in path.read_text().splitlines() if '"event":"site' in line]
     found = [json.loads(line) for line in lines]
     lost = {one["why"] for one in found if one.get("now") == "lost" and one["site"] == "z1"}
-    assert lost and all("others: 0 are served there" in why for why in lost)
+    # The judge's rule: nobody gives a site up while more of the others are served there than are not.  How
+    # many still say so when the first one does hangs on whose word comes first, which is no rule.
+    words = [re.search(r"others: (\d+) are served there, (\d+) are not", why) for why in lost]
+    assert words and all(int(word[1]) <= int(word[2]) for word in words), lost
     slices = [one for one in found if one["event"] == "site-slice" and one["site"] == "z1"]
     shown = [one["why"].split(":")[0] for one in sorted(slices, key=lambda one: one["timestamp"])]
     assert shown[:3] == ["slice 1", "slice 2", "slice 3"], slices
