Answers of one turn, long orders and workers listed again are not cut short

Read in a second review of endings, then forced by tests that fail without the mends: - listener.flush counted a turn's answers as what waits for a client that does not read: over 1 MiB of them ended its connection, each answer with it.

--- a/swiftwell/fronts/fastcgi/listener.py
+++ b/swiftwell/fronts/fastcgi/listener.py
@@ -29,7 +29,7 @@
 from swiftwell.fronts.trigger import TOO_MANY, Answer, Kind, Trigger
 
 READ_BYTES = 65_536  # bytes taken in at once: four of the largest bodies
-MOST_UNSENT = 1 << 20  # bytes that may wait for a client that does not read
+MOST_UNSENT = 1 << 20  # bytes that wait for a client beyond which it does not read; one turn's answers on top
 LOOK_S = 0.25  # s between looks; counted in looks, a stall of ours is one look and closes nobody
 SILENT_LOOKS = 8  # looks a new connection may say nothing whole for: 2 s, clients are owed a close within 3
 BACKLOG = 512  # connections that the machine accepts for us meanwhile: hundreds come at once
@@ -166,7 +166,11 @@
             return
         try:
             if out:
-                self._writing = self.stream.write(b"".join(out))
+                whole = b"".join(out)
+                # By what waited before: many large answers of one turn say nothing of who reads them.  They
+                # ended the connection of a client that read all the while, and each answer with it.
+                self.stream.max_write_buffer_size = MOST_UNSENT + len(whole)
+                self._writing = self.stream.write(whole)
         except (StreamClosedError, StreamBufferFullError):
             self._listener.log("client-does-not-read", connection=self.name)
             self.stream.close()
@@ -250,7 +254,6 @@
                 return
         self.counts["accepted"] += 1
         stream.set_nodelay(True)
-        stream.max_write_buffer_size = MOST_UNSENT
         connection = Connection(self, stream, next(self._numbers))
         self.connections[connection] = None
         await connection.run()
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -24,7 +24,7 @@
 from swiftwell.platform.limits import divide
 from swiftwell.settings import platform as config
 from swiftwell.settings.platform import ConfigError, Platform
-from swiftwell.workers.resp.link import RespBounds, RespLink
+from swiftwell.workers.resp.link import ORDER_S, RespBounds, RespLink
 
 MARGIN_US = 5_000  # us kept back of each request's time for the answer's way to the client
 TAKING_S = (
@@ -49,7 +49,9 @@
         self.engine = Engine(told.told, None, seed=told.seed, margin_us=MARGIN_US, max_open=told.most_open)
         share = divide(told.sockets)
         self.addresses = journal.Addresses()
-        bounds = RespBounds(share.workers, told.streams, told.dial_us / 1e6, told.idle_us / 1e6)
+        # No order is forgotten before the engine stops waiting: loads may take longer than the link's bound.
+        order_s = max(ORDER_S, told.told.order_timeout_us / 1e6)
+        bounds = RespBounds(share.workers, told.streams, told.dial_us / 1e6, told.idle_us / 1e6, order_s)
         self.link = RespLink(bounds, self.addresses.get, self.put, self.log, self.addresses.ready)
         contract = Contract.of(told.told)
         self.front = Listener(self, contract, share.clients, lambda: self.healthy)
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -20,7 +20,7 @@
 from swiftwell.workers.resp.connection import Connection, Job
 
 IDLE_PART = 0.7  # of the time after which a worker closes an unused connection: ours go well before
-ORDER_S = 10.0  # s until an order is forgotten here; the engine stops waiting at the told time
+ORDER_S = 10.0  # s until an order is forgotten here, where the settings tell no time or a shorter one
 LEAST_EACH = 2  # connections to a worker, whatever the descriptors: one may be silent
 MOST_EACH = 24  # connections to a worker: more than the attempts that the module lets out to one
 EARNED = 0.05  # further connections a request earns: a handshake is a thousandth of twenty calls' work
@@ -154,6 +154,8 @@
 
     def _begin(self, job: Job) -> None:
         worker = self._workers.setdefault(job.worker, _Worker())
+        if worker.gone and self._address(job.worker):
+            worker.gone = False  # listed again: else each sweep closed what it had just opened
         self._earned = min(MOST_EARNED, self._earned + EARNED)
         connection = self._pick(job, worker)
         if connection is None:
@@ -290,6 +292,8 @@
                 stale = one.used < now - IDLE_PART * self._bounds.idle_s
                 if not one.jobs and (stale or one.doubted or worker.gone or one.address != address):
                     one.close()
+            if address is None and not worker.connections:
+                del self._workers[name]  # made anew by what was still on its way to one that had gone
         for job in [job for job in self._orders.values() if job.began < now - self._bounds.order_s]:
             self._give_up(job)
             job.ended(Status.TIMEOUT, Ran.MAYBE)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -250,6 +250,39 @@
     run(main())
 
 
+def test_an_order_that_may_take_long_is_not_forgotten_before_its_time(tmp_path):
+    # The settings may grant loads more than the link's own bound: its answer was then nobody's.
+    family = settings()["family-info"] | {"order-timeout-ms": 25_000.0}
+
+    async def main():
+        go = asyncio.Event()
+
+        async def slow(worker, writer, words):
+            await go.wait()
+            await echo(worker, writer, words)
+
+        async with (
+            Worker(slow) as worker,
+            router(tmp_path, [worker.port], settings=settings(**{"family-info": family})) as node,
+        ):
+            ends = []
+            node.link._put = lambda end: ends.append(end)
+            node.link.order(ports.Order(9, "s-00000001", KEY, 1, 10.0, 1))
+            await until(lambda: worker.got)
+            node.link._orders[9].began -= 20.0  # so long ago
+            node.link.sweep()
+            assert not ends
+            go.set()
+            await until(lambda: ends)
+            assert (ends[0].status, ends[0].copies) == (Status.OK, 1)
+            node.link.order(ports.Order(10, "s-00000001", KEY, 1, 10.0, 1))
+            node.link._orders[10].began -= 26.0
+            node.link.sweep()
+            assert (ends[1].number, ends[1].status) == (10, Status.TIMEOUT)
+
+    run(main())
+
+
 def test_what_a_full_kernel_buffer_did_not_take_can_still_be_taken_back():
     async def main():
         took, go = [], asyncio.Event()
@@ -320,6 +353,34 @@
     writer.write(said(words[1], b"DONE", b"why=reused", b"y" * 200_000))
 
 
+def test_large_answers_of_one_turn_reach_a_client_that_reads(tmp_path, monkeypatch):
+    monkeypatch.setattr(lis, "MOST_UNSENT", 300_000)
+
+    async def main():
+        count = 3  # of 200,000 bytes each: together more than may wait for a client that does not read
+        async with (
+            Worker(_large) as worker,
+            router(tmp_path, [worker.port]) as node,
+            Front(node.port) as front,
+        ):
+            (one,) = node.front.connections
+            flush, gathered = one.flush, []
+
+            def together():  # the turn's end comes once all have been gathered
+                gathered.append(sum(map(len, one._out)))
+                if gathered[-1] > count * 200_000:
+                    flush()
+
+            one.flush = together
+            for number in range(1, count + 1):
+                front.writer.write(request(number, fields(id_(number))))
+            assert await front.read(lambda: len(front.done) == count)
+            assert all(answer.startswith(b"Status: 200") for answer in front.done.values())
+            assert max(gathered) > lis.MOST_UNSENT
+
+    run(main())
+
+
 def test_a_connection_with_an_answer_on_its_way_is_not_evicted(tmp_path):
     async def main():
         async with Worker(_large) as worker, router(tmp_path, [worker.port]) as node:
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -428,6 +428,41 @@
     run(main())
 
 
+def test_a_worker_listed_again_keeps_its_connection_and_one_that_went_leaves_nothing():
+    async def main():
+        go = asyncio.Event()
+
+        async def waits(worker, writer, words):
+            await go.wait()
+            await echo(worker, writer, words)
+
+        async with Worker(waits) as worker:
+            play = Play({"w": worker.port})
+            play.start("c1")
+            await until(lambda: worker.got)
+            at = play.at.pop("w")
+            play.link.gone("w")  # its connection is in use: it stays for now
+            play.at["w"] = at
+            play.start("c2", id_=OTHER)
+            go.set()
+            await play.ends(2)
+            play.link.sweep()
+            play.start("c3", id_="0" * 16)
+            await play.ends(3)
+            assert worker.connections == 1
+            play.at.pop("w")
+            play.link.gone("w")
+            play.link.sweep()
+            await until(lambda: not play.link._workers)
+            play.start("c4")  # on its way to one that has gone: refused, and no table keeps it
+            assert (await play.ends(4))[3] == (Status.CONNECT_FAILED, Ran.NEVER)
+            play.link.sweep()
+            assert not play.link._workers
+            play.link.close()
+
+    run(main())
+
+
 def test_orders_are_answered_and_none_is_outstanding_for_ever():
     async def main():
         async def first(worker, writer, words):
