--- a/swiftwell/proof/days.py
+++ b/swiftwell/proof/days.py
@@ -53,6 +53,9 @@
     via: str = setting("endpoint", choice=("endpoint", "broker", "amqp"), doc="where they connect")
     version: str = setting("5.0", choice=("5.0", "3.1.1"), doc="protocol version")
     retries: int = setting(2, low=0, high=10, doc="tries after the first")
+    honour: float = setting(
+        0.0, low=0, high=1, doc="share of refusals after which they stay away as long as they are told"
+    )
     leave: float = setting(0.0, low=0, high=1, doc="share whose publisher leaves before the answer")
     one_off: float = setting(0.0, low=0, high=1, doc="share for functions wanted only once")
     skew_ms: float = setting(0.0, doc="ms by which their clocks are ahead of ours")
@@ -139,6 +142,7 @@
     period_ms: int = setting(250, low=50, high=60_000, doc="ms between two pings of one gateway")
     voters: int = setting(3, low=1, high=9, doc="members that grant a lease")
     zones: int = setting(1, low=1, high=64, doc="zones, which gateways are in by turns")
+    absent: int = setting(0, low=0, high=1_000, doc="members of the roster that never come")
     drill: bool = setting(True, doc="the holder of a lease acts at a resource, again and again")
     act_ms: int = setting(20, low=1, high=10_000, doc="ms of such an act")
     checks: bool = setting(True, doc="the resource turns an older token away")
--- a/swiftwell/proof/rules.py
+++ b/swiftwell/proof/rules.py
@@ -129,6 +129,10 @@
                 away.spans["broker"].append((event["t"], event["t"] + int((event["for_s"] + 1) * 1e6)))
             case "disconnected":
                 away.down(event["client"], event["t"])
+            case "connecting":
+                # What is published meanwhile waits there, in a kernel's buffer where the gateway stands
+                # still: held against the gateway before, it broke the rule of one that never saw it.
+                homes[event["client"]] = ports.get(event["to"].rpartition(":")[2], "")
             case "connected":
                 away.up(event["client"], event["t"])
                 homes[event["client"]] = ports.get(event["to"].rpartition(":")[2], "")
--- a/swiftwell/standins/amqp_publishers.py
+++ b/swiftwell/standins/amqp_publishers.py
@@ -78,7 +78,8 @@
         headers = (properties.headers if properties else None) or {}
         corr = (properties.correlation_id if properties else None) or ""
         dup = bool(headers.get("repeated"))
-        self._told(corr, str(headers.get("status", "")), str(headers.get("reason", "")), dup)
+        kind, reason = str(headers.get("status", "")), str(headers.get("reason", ""))
+        self._told(corr, kind, reason, dup, headers.get("wait-ms", 0))
 
     def _returned(self, event: Incoming) -> None:
         """No queue took the trigger: nobody will answer it."""
--- a/swiftwell/standins/fleet.py
+++ b/swiftwell/standins/fleet.py
@@ -98,7 +98,8 @@
         for one in day.classes
     )  # fmt: skip
     return Plan(
-        crowd.rate * scale, day.seconds, habits, crowd.clients, crowd.retries, leave=crowd.leave,
+        crowd.rate * scale, day.seconds, habits, crowd.clients, crowd.retries,
+        honour=crowd.honour, leave=crowd.leave,
         one_off=crowd.one_off, bursts=tuple((b.at, b.for_s, b.times) for b in day.bursts),
         skew_ms=crowd.skew_ms,
     )  # fmt: skip
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -49,6 +49,11 @@
     return {"ev": "order", "t": t, "gw": "gw", "worker": "w1"}
 
 
+MOVED = [
+    {"ev": "ready", "gw": "two", "port": 2, "t": 4},
+    {"ev": "disconnected", "client": "c", "t": 5},
+    {"ev": "connecting", "client": "c", "to": "127.0.0.1:2", "t": 6},
+]
 GIVEN = {"ev": "to", "client": "gw", "corr": "k.0", "topic": "calls/x", "t": 20, "dup": False}
 KILLED = [{"ev": "killed", "gw": "gw", "t": 500}, {"ev": "ready", "gw": "gw", "port": 1, "t": 600}]
 
@@ -62,6 +67,8 @@
         # dropped by the gateway
         ("answered_once", [attempt(), {"ev": "disconnected", "client": "c", "t": 100}]),
         ("answered_once", [attempt(t=700, until=1_700), *KILLED]),  # taken after it was back
+        # Published while its client was connecting to a gateway that runs.
+        ("answered_once", [*MOVED, attempt(t=30, until=1_000), {"ev": "stopped", "gw": "gw", "t": 40}]),
         ("answered_once", [attempt(client="b", until=900_000), GIVEN]),
         ("effects_once", [attempt(), answer(20), ran(15), ran(16, "gw/c2/0")]),
         ("effects_once", [attempt(), recv(12), answer(20, "refused"), ran(30)]),
@@ -86,6 +93,8 @@
         [attempt(), answer(900)],
         [attempt(), *KILLED],
         [attempt(), {"ev": "left", "corr": "k.0", "t": 50}],
+        # It waits at a gateway that stands still, not at the one its client was connected to before.
+        [*MOVED, attempt(t=30, until=1_000), {"ev": "stopped", "gw": "two", "t": 40}, answer(1_100)],
         [attempt(), answer(20), answer(30, dup=True)],
         [attempt(), recv(12), ran(15), answer(20)],
         [attempt(), answer(20, "refused"), attempt("k.1", t=30), recv(31), ran(40), answer(50, corr="k.1")],
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -431,6 +431,51 @@
     run(body())
 
 
+def test_what_is_written_to_a_process_that_is_gone_was_told_to_nobody_and_a_new_one_is_told_all():
+    # The checker held a gateway to a `gone` that had gone to the process killed before it was started, and
+    # not to a `draining` that the new process was told as the old one had been.
+    async def body():
+        trace = Trace("list")
+        listing = Listing(trace, 0.0)
+        port = listing.start()
+        one, two = "127.0.0.1:1000", "127.0.0.1:2000"
+        listing.put(one, now=True, started_ms=0)
+        listing.put(two, "draining", now=True, started_ms=0)
+
+        async def ask(index, read):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            target = f"/v1/health/service/calc?index={index}&wait=5s"
+            writer.write(f"GET {target} HTTP/1.1\r\nhost: l\r\nswiftwell-gateway: gw\r\n\r\n".encode())
+            if read:
+                await reader.readuntil(b"]")
+            return writer
+
+        def told():
+            return [(e["worker"], e["state"]) for e in trace.kept if e["ev"] == "told"]
+
+        (await ask(0, read=True)).close()
+        assert told() == [(one, "running"), (two, "draining")]
+        asked = sum(e["ev"] == "list-asked" for e in trace.kept)
+        killed = await ask(listing.index, read=False)
+        for _ in range(400):  # its question waits there for a change
+            if sum(e["ev"] == "list-asked" for e in trace.kept) > asked:
+                break
+            await asyncio.sleep(0.005)
+        killed.close()
+        await killed.wait_closed()
+        listing.put(one, "gone", now=True)
+        for _ in range(400):
+            if not listing.server.streams:
+                break
+            await asyncio.sleep(0.005)
+        assert not listing.server.streams and len(told()) == 2
+        (await ask(0, read=True)).close()  # the process after it
+        assert told()[2:] == [(two, "draining"), (one, "gone")]
+        listing.server.stop()
+
+    run(body())
+
+
 def test_servers_are_tried_in_turn():
     async def body():
         listing = Listing(Trace("list"), 0.0)
