--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -41,7 +41,7 @@
     for told in asyncio.run(main()):
         assert told["rules_kept"], (told["day"], told["rules"], told["breaches"][:5])
         fleet = told["fleet"]
-        # Where nine of ten never come, the voters of the drill's lease among them, nobody ever acts; calls are
+        # Where nine of ten never come, the voters of the drill among them, nobody ever acts; calls are
         # served all the same (0.55 while turns at the list were for those that never come as well).
         agrees = told["day"] != "fleet-roster"
         part = 0.6 if agrees else 0.85
