--- a/swiftwell/lab/clients.py
+++ b/swiftwell/lab/clients.py
@@ -181,7 +181,7 @@
         self.world.note("answer", "publishers", corr=message.corr, kind=kind, reason=reason, dup=dup)
         if call.waiting == message.corr:
             call.waiting = ""
-            self._ended(call, kind)
+            self._ended(call, kind, message.wait_us if kind == "refused" else 0)
 
     def _gave_up(self, call: _Call, corr: str) -> None:
         self._clients[call.client].unacked.pop(corr, None)
@@ -190,7 +190,7 @@
             self.world.note("gave-up", "publishers", corr=corr)
             self._ended(call, "gave-up")
 
-    def _ended(self, call: _Call, how: str) -> None:
+    def _ended(self, call: _Call, how: str, told_us: int = 0) -> None:
         """A try has ended: the call is over, or is tried again after a while."""
         call.unanswered |= how != "refused"
         once = how == "failed" and call.habit.band.startswith("consigna")
@@ -199,5 +199,9 @@
             if self.done and not self.open:
                 self.over()
             return
-        wait = self._plan.retry_s * self._habits.uniform(0.5, 1.5)
-        self.world.after(wait * 1e6, self._try, call)
+        honour = self._plan.honour
+        if told_us and honour and self._habits.uniform() < honour:
+            wait_us: float = told_us
+        else:
+            wait_us = self._plan.retry_s * self._habits.uniform(0.5, 1.5) * 1e6
+        self.world.after(wait_us, self._try, call)
--- a/swiftwell/lab/fronts.py
+++ b/swiftwell/lab/fronts.py
@@ -42,6 +42,7 @@
     unanswered: bool = False
     qos: int = 1
     priority: int = 0
+    wait_us: int = 0  # for which its refusal sent its publisher away
 
     def topic(self) -> str:
         return f"calls/{self.tenant}/{self.band}/{self.function}"
@@ -108,8 +109,8 @@
             self.world.after(origin.gateway.client_us(), message.acked, message)
 
     def _replied(self, origin: Origin, answer: Answer) -> None:
-        message = origin.message
-        kind, reason = answer.kind.value, answer.reason
+        message, kind, reason = origin.message, answer.kind.value, answer.reason
+        message.wait_us = answer.wait_us
         self.world.after(origin.gateway.client_us(), message.heard, message, kind, reason, False)
         self._ack(origin)
 
@@ -204,7 +205,7 @@
 
         def replied(origin: Origin, answer: Answer) -> None:
             us = gateway.client_us() + c.BROKER_US + c.CLIENT_US
-            kind, reason = answer.kind.value, answer.reason
+            kind, reason, message.wait_us = answer.kind.value, answer.reason, answer.wait_us
             self.world.after(us, self._answer, message, kind, reason)
             self._ack(member, origin)
 
@@ -377,7 +378,7 @@
             consumer.open -= 1
             consumer.claimed -= not safe
             consumer.ended += 1
-            us = gateway.client_us() + c.BROKER_US + c.CLIENT_US
+            us, message.wait_us = gateway.client_us() + c.BROKER_US + c.CLIENT_US, answer.wait_us
             self.world.after(us, self._answer, message, answer.kind.value, answer.reason)
             if safe:
                 self.world.after(2 * gateway.client_us(), self._confirmed, consumer, life, tag, origin)
--- a/swiftwell/standins/publishers.py
+++ b/swiftwell/standins/publishers.py
@@ -186,7 +186,8 @@
 
     def _rest(self, call: Call, kind: str) -> float:
         """Seconds until the next try: as told, or as their own habit is."""
-        told = kind == "refused" and call.wait_s and self._chance.random() < self.plan.honour
+        told = kind == "refused" and call.wait_s and self.plan.honour
+        told = told and self._chance.random() < self.plan.honour
         return call.wait_s if told else self.plan.retry_s * self._chance.uniform(0.5, 1.5)
 
     async def _try(self, call: Call, number: int, attempt: int, patience: float) -> str:
