--- a/swiftwell/__main__.py
+++ b/swiftwell/__main__.py
@@ -1,5 +1,10 @@
 """`python -m swiftwell`."""
 
-from swiftwell.cli.main import main
+import gc
 
+gc.disable()  # while modules are loaded: nothing of them is garbage, and looking for it takes time
+
+from swiftwell.cli.main import main  # noqa: E402
+
+gc.enable()
 main()
