--- a/swiftwell/cli/main.py
+++ b/swiftwell/cli/main.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import gc
 import importlib
 import os
 import select
@@ -60,15 +59,12 @@
 
     With --take-over the exit code is 3 where the running gateway carries on instead.
     """
-    gc.disable()  # until what a start loads stands
     from swiftwell.gateway.journal import JournalError
     from swiftwell.gateway.logs import Logs
     from swiftwell.gateway.shell import Gateway
     from swiftwell.handover import new
     from swiftwell.handover.channel import Broken
 
-    gc.freeze()  # and stays: full collections need not walk it
-    gc.enable()
     settings = _load(site)
     logs = Logs(settings.log.format, settings.log.level, settings.log.per_kind)
 
