--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -40,6 +40,7 @@
 PASSES = 8  # workers beyond its homes that a call passes on to at most
 KEEP_LIVES = 2  # idle lives after its last call for which a function is remembered
 MOST_LOADS = 6  # loads of ours under way at once
+LOAD_FAILED = 4  # the wire's word in an error or a miss: the load that the call began or waited for failed
 LOAD_STALL = 3.0  # times the usual load: the copy is no longer waited for
 ORDERS, MOST_ORDERS = 0.1, 10.0  # orders per call taken, and saved up at most: as further attempts
 TURNS = 0.75  # of the told multiple that all turns at a starting worker come to: the rest is for chance
@@ -367,6 +368,9 @@
             self._strain(worker, LATE)
         if event.status in (Status.OK, Status.FULL, Status.MISS):
             worker.quiet_since, worker.answered = now, max(worker.answered, attempt.sent)
+        if event.note & 7 == LOAD_FAILED:  # no copy stands or comes: as after an order that failed
+            worker.copies.pop(function.name, None)
+            worker.shut[function.name] = now + int(function.load_us)
         match event.status:
             case Status.OK:
                 if now >= worker.warm_at:
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -480,7 +480,7 @@
             self._settle(call, Answer(Kind.FAILED, tr.TOO_LARGE, worker=attempt.worker))
         elif call.streaming and not call.settled:
             self._settle(call, self._doubt(call))
-        note = min(end.found, 3) + 8 * min(end.crowd, 30)
+        note = min(end.found, 4) + 8 * min(end.crowd, 30)
         report = (("rif", end.held),) if end.held >= 0 else ()
         self._events.append(
             io.Outcome(
--- a/swiftwell/gateway/ports.py
+++ b/swiftwell/gateway/ports.py
@@ -27,9 +27,8 @@
 class AttemptEnd(Struct, frozen=True):
     """How an attempt ended: each `Start` gets exactly one.
 
-    `ran` is what the socket proves; `found` 0 untold, 1 warm, 2 loaded, 3 waited; `crowd` calls of the same
-    function
-    that stood there; `held` calls the worker held, -1 untold.
+    `ran` is what the socket proves; `found` 0 untold, 1 warm, 2 loaded, 3 waited, 4 the load failed; `crowd`
+    calls of the same function that stood there; `held` calls the worker held, -1 untold.
     """
 
     id: str
--- a/swiftwell/workers/resp/codec.py
+++ b/swiftwell/workers/resp/codec.py
@@ -103,7 +103,7 @@
     b"BROKE": (Status.ERROR, Ran.MAYBE),
     b"PAST": (Status.MOOT, Ran.NEVER),
 }
-_FOUND = {b"reused": 1, b"init": 2, b"shared_init": 3}
+_FOUND = {b"reused": 1, b"init": 2, b"shared_init": 3, b"init_error": 4}
 
 
 def fields(text: bytes) -> dict[bytes, bytes]:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,7 +8,7 @@
 from helpers import ORDERS, PLAIN, TICK, Bench, entry, only
 
 from swiftwell import interface as io
-from swiftwell.choice import FIRST_CAP, SPLIT
+from swiftwell.choice import FIRST_CAP, LOOK_US, SPLIT
 from swiftwell.interface import Status
 from swiftwell.records import Worker, stable_hash
 
@@ -469,6 +469,25 @@
     assert worker.pace <= pace and worker.cap >= cap
 
 
+@pytest.mark.parametrize("warm", [True, False])
+def test_where_a_load_failed_the_next_call_goes_elsewhere_for_a_while(warm: bool) -> None:
+    """A worker whose new version would not load got the next call at once, as a copy was believed there."""
+    bench = Bench()
+    (send,) = only(bench.call(), io.Send)
+    failed = send.worker
+    if warm:
+        bench.answer(send)
+        (send,) = only(bench.call(), io.Send)
+        assert send.worker == failed
+    assert not only(bench.do(io.Outcome(send.id, 0, failed, Status.ERROR, 50_000, False, 4, ())), io.Send)
+    (again,) = only(bench.wait(2 * LOOK_US), io.Send)  # held for a look, then it has a seat more
+    assert again.worker != failed
+    bench.answer(again)
+    bench.wait(int(bench.router.functions["f"].load_us) + TICK)
+    bench.do(io.Members(io.ListKind.FULL, (entry(failed),)))  # nobody else is left
+    assert [send.worker for send in only(bench.call(), io.Send)] == [failed]
+
+
 @pytest.mark.parametrize("slow", [150_000, 600_000, 1_100_000])
 def test_the_only_worker_gets_every_call_whatever_its_pace_looks_like(slow: int) -> None:
     """A draw against the median of one second ago kept calls from the only worker until they were refused.
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -58,6 +58,11 @@
     assert (verdict.status, verdict.ran, verdict.found, verdict.crowd) == (status, ran, 3, 3)
 
 
+def test_a_load_that_failed_is_told_to_the_module():
+    v = codec.verdict(b"BROKE", b"why=init_error,rivals=2")
+    assert (v.status, v.ran, v.found, v.crowd) == (Status.ERROR, Ran.MAYBE, 4, 2)
+
+
 @pytest.mark.parametrize(
     "word, told", [(b"FINE", b"-"), (b"DONE", b"why"), (b"DONE", b"rivals=-1"), (b"DONE", b"")]
 )
