--- a/swiftwell/proof/account.py
+++ b/swiftwell/proof/account.py
@@ -36,6 +36,7 @@
     up = max((event["t"] for event in events if event["ev"] == "ready"), default=down)
     out = {"down_s": round((down - began) / SECOND, 2), "starting_s": round((up - down) / SECOND, 2)}
     out |= {"list": _list(events, down), "workers": _workers(events, down), "start": _starts(events, down)}
+    out["store"] = _store(events, down)
     return out | {"service": _service(events, began, down, up)}
 
 
@@ -48,6 +49,13 @@
     }
 
 
+def _store(events: list[Event], down: int) -> dict[str, int]:
+    """What the model store was asked for, and what it refused, since the kill."""
+    fetches = [event["t"] for event in events if event["ev"] == "fetch" and event["t"] >= down]
+    refused = sum(event["ev"] == "store-refused" and event["t"] >= down for event in events)
+    return {"fetches": len(fetches), "most_in_a_second": most_within(fetches, SECOND), "refused": refused}
+
+
 def _workers(events: list[Event], down: int) -> dict[str, Any]:
     """Connections, cold offers and orders at workers, since the kill."""
     started: dict[str, int] = {}
