Whoever stood without a processor takes nobody's turn for passed

200 gateways starting on eight cores asked the list 12 times in a second where 4 came before turns went by the living: a starved process had met few and took the others for dead. All count until it has itself looked for four periods, a look for 0.1 s at most, and while its own health in the membership is not good (members.health).

--- a/swiftwell/starting/lists.py
+++ b/swiftwell/starting/lists.py
@@ -5,10 +5,10 @@
 they ask at a stated rate without talking.  A turn goes from one that lives to the next that does: with turns
 for all, a zone whose other members never came had no list, hence no service, for as long as all of theirs
 took.  It moves on from where it stands as views change, and never back, so those that die late make no burst.
-Who takes the living for dead is early by their turns; so for SETTLE_PERIODS after a start, while one meets
-the others, all of them count.  A turn is one question; whoever gets an answer goes on as the reader until it
-loses the service, or hears of another reader and has no lease.  Two may read for a while, as on both sides of
-a cut; the lease says who goes on.
+Who takes the living for dead is early by their turns; so all of them count for SETTLE_PERIODS of our own
+running, while one meets the others, and wherever the fault may well be ours.  A turn is one question; whoever
+gets an answer goes on as the reader until it loses the service, or hears of another reader and has no lease.
+Two may read for a while, as on both sides of a cut; the lease says who goes on.
 
 A router that hears nobody of its group is alone, and asks as it would without a fleet: being cut off must not
 cost it the list.  So what the service sees is bounded by the rate while routers hear each other, and by what
@@ -26,6 +26,7 @@
 SILENT_PERIODS = 4.0  # periods without a beat until the reader counts as silent: three may be lost
 SETTLE_PERIODS = 4  # periods of ours in which members meet: a ping each a period, and what is news on each
 ALONE_US = 2_000_000  # us without a word of anyone of the group, after which we take it that we are alone
+RUNNING_US = 100_000  # us that two looks count for at most: one without a processor has met nobody meanwhile
 AWAY_US = 1_000_000  # us between two looks after which we take it that we stood still: twenty looks
 
 
@@ -56,7 +57,7 @@
     beat_at: int | None  # when its writer last gave a sign of life
     coming_at: int  # when we last heard of another edition that is not here yet
     heard_at: int  # when anyone of the group last spoke to us, 0 for never
-    living: frozenset[int] | None = None  # as far as we know; None is untold: all
+    living: frozenset[int] | None = None  # as far as we know; None where we can't tell: all
 
 
 class Reading:
@@ -71,7 +72,7 @@
         self.me, self.group, self.name, self.rate = me, group, name, rate
         self.silent_us, self._settle_us = int(SILENT_PERIODS * period_us), SETTLE_PERIODS * period_us
         self.began = now
-        self._looked = now
+        self._looked, self._ran = now, 0  # when we looked last, and us of looking in all
         self.reader = False  # our last question was answered, and nobody else has the reading
         self._round: tuple[int, int] = (-1, 0)  # edition, and when its silence began
         self._order: list[int] = []  # in which the group has turns in this round
@@ -85,6 +86,7 @@
             return Ask.ALONE
         if now - self._looked > AWAY_US:  # we stood still, and not the reader: others may tell us first
             self.began = now
+        self._ran += min(now - self._looked, RUNNING_US)
         self._looked = now
         told = seen.beat_at if seen.others else None
         fresh = now - max(seen.coming_at, told if told is not None else -1 << 62) < self.silent_us
@@ -99,7 +101,7 @@
             return Ask.ALONE
         silent = 0 if seen.beat_at is None else seen.beat_at + self.silent_us
         since = max(self.began + LEARN_US, silent)
-        known = seen.living if now - self.began >= self._settle_us else None
+        known = seen.living if self._ran >= self._settle_us else None
         return Ask.ONCE if self._turn(now, seen.edition, since, known) else Ask.NOT
 
     def _turn(self, now: int, edition: int, since: int, living: frozenset[int] | None) -> bool:
--- a/swiftwell/starting/zone.py
+++ b/swiftwell/starting/zone.py
@@ -46,7 +46,8 @@
             self.node.want(now, self.lease.name, reading.reader)
         was, holds = reading.reader, self.lease.holds(now)
         beat_at = board.beat_at if board.edition else None
-        living = frozenset(self.node.members.alive())
+        members = self.node.members
+        living = None if members.health else frozenset(members.alive())
         seen = Seen(board.edition, not board.writing, beat_at, board.coming_at, board.heard_at, living)
         ask = reading.look(now, holds, seen)
         gave_way = was and not reading.reader
