--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import time
+from contextlib import asynccontextmanager
 
 import pytest
 import uvloop
@@ -74,6 +75,19 @@
             writer.close()
 
 
+@asynccontextmanager
+async def waiting_at_a_gate(folder):
+    """A gate, a router and a front whose request 1 waits for a connection to that gate."""
+    async with (
+        Gate(echo) as gate,
+        router(folder, [gate.port], settings=patient()) as node,
+        Front(node.port) as front,
+    ):
+        front.writer.write(request(1, fields(id_(1), wait="6000")))
+        await until(lambda: node.link._jobs)
+        yield gate, node, front
+
+
 def leave(front, how, number=1):
     """A client gives up."""
     if how == "abort":
@@ -95,13 +109,7 @@
 @pytest.mark.parametrize("how", ["abort", "close", "reset"])
 def test_a_request_left_while_its_connection_comes_up_late_is_not_sent(tmp_path, how):
     async def main():
-        async with (
-            Gate(echo) as gate,
-            router(tmp_path, [gate.port], settings=patient()) as node,
-            Front(node.port) as front,
-        ):
-            front.writer.write(request(1, fields(id_(1), wait="6000")))
-            await until(lambda: node.link._jobs)
+        async with waiting_at_a_gate(tmp_path) as (gate, node, front):
             leave(front, how)
             await until(lambda: node.engine.counts["left"])
             await gate.open()
@@ -194,13 +202,7 @@
 @pytest.mark.parametrize("what", ["drains", "is gone", "left its address to another"])
 def test_nothing_goes_to_a_worker_that_changed_while_its_connection_came_up(tmp_path, what):
     async def main():
-        async with (
-            Gate(echo) as gate,
-            router(tmp_path, [gate.port], settings=patient()) as node,
-            Front(node.port) as front,
-        ):
-            front.writer.write(request(1, fields(id_(1), wait="6000")))
-            await until(lambda: node.link._jobs)
+        async with waiting_at_a_gate(tmp_path) as (gate, node, front):
             (one,) = node.link._workers["s-00000001"].connections
             records = {"drains": [(1, gate.port, 1)], "is gone": [(1, gate.port, 2)]}.get(
                 what, [(1, gate.port, 2), (2, gate.port, 1)]
@@ -465,13 +467,7 @@
 
 def test_open_requests_of_a_connection_that_broke_are_answered_and_not_sent(tmp_path):
     async def main():
-        async with (
-            Gate(echo) as gate,
-            router(tmp_path, [gate.port], settings=patient()) as node,
-            Front(node.port) as front,
-        ):
-            front.writer.write(request(1, fields(id_(1), wait="6000")))
-            await until(lambda: node.link._jobs)
+        async with waiting_at_a_gate(tmp_path) as (gate, node, front):
             front.writer.write(b"no FastCGI at all")
             assert (await front.answer(1))[0] == 502  # a failure: it promises nothing
             assert await front.closed()
