--- /dev/null
+++ b/swiftwell/fronts/fastcgi/pending.py
@@ -0,0 +1,90 @@
+"""Accepted connections on which no byte has come yet.
+
+Each costs a descriptor and one readiness watch; streams, sessions and tasks are made with the first bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+MAX_SILENT_SWEEPS = 8  # sweeps a connection may stay silent for: 2 s, clients are owed a close within 3
+
+
+@dataclass(slots=True, eq=False)
+class _Pending:
+    connected: socket.socket
+    sweeps: int = 0
+
+
+class PendingConnections:
+    """Ordered by arrival.  `opened` takes a connection together with its first bytes."""
+
+    def __init__(self, opened: Callable[[socket.socket, bytes], None], read_bytes: int) -> None:
+        self._opened, self._read_bytes = opened, read_bytes
+        self._pending: dict[int, _Pending] = {}  # by descriptor
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def add(self, connected: socket.socket) -> None:
+        """Take a connection; most clients have sent their request by the time it is accepted."""
+        pending = _Pending(connected)
+        self._pending[connected.fileno()] = pending
+        if not self._read(pending):
+            asyncio.get_running_loop().add_reader(connected.fileno(), self._readable, connected.fileno())
+
+    def evict_oldest(self) -> bool:
+        """Close the oldest connection that is still silent; returns whether there was one."""
+        for pending in list(self._pending.values()):
+            if not self._read(pending):  # bytes that came in this very instant make it a client of ours
+                self._close(pending)
+                return True
+        return False
+
+    def read_all(self) -> bool:
+        """Look at every connection once; returns whether any had sent something."""
+        return any([self._read(pending) for pending in list(self._pending.values())])
+
+    def sweep(self) -> None:
+        """Close what has been silent for too long, in sweeps: a stall of ours closes nobody."""
+        for pending in list(self._pending.values()):
+            pending.sweeps += 1
+            if pending.sweeps > MAX_SILENT_SWEEPS and not self._read(pending):
+                self._close(pending)
+
+    def close(self) -> None:
+        """Close all of them."""
+        for pending in list(self._pending.values()):
+            self._close(pending)
+
+    def _readable(self, descriptor: int) -> None:
+        pending = self._pending.get(descriptor)
+        if pending is not None:
+            self._read(pending)
+
+    def _read(self, pending: _Pending) -> bool:
+        """Hand a connection on with its first bytes, or end it at its end; returns whether it left."""
+        try:
+            data = pending.connected.recv(self._read_bytes)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            data = b""
+        if not data:
+            self._close(pending)
+            return True
+        self._remove(pending)
+        self._opened(pending.connected, data)
+        return True
+
+    def _remove(self, pending: _Pending) -> None:
+        descriptor = pending.connected.fileno()
+        del self._pending[descriptor]
+        asyncio.get_running_loop().remove_reader(descriptor)
+
+    def _close(self, pending: _Pending) -> None:
+        self._remove(pending)
+        pending.connected.close()
