--- a/swiftwell/fleet/link.py
+++ b/swiftwell/fleet/link.py
@@ -32,7 +32,7 @@
         self.node = FleetNode(told, now, wall, int.from_bytes(os.urandom(4), "big"))
         self._came: list[bytes] = []
         self._transport: asyncio.DatagramTransport | None = None
-        self._stirred = False
+        self._woken = False
         self._tick: asyncio.TimerHandle | None = None
         self._held: dict[str, int] = {}
         self.dropped = 0
@@ -59,10 +59,10 @@
             self._transport.close()
             self._transport = None
 
-    def stir(self) -> None:
+    def wake(self) -> None:
         """Take a step in this turn: something is to be said."""
-        if not self._stirred:
-            self._stirred = True
+        if not self._woken:
+            self._woken = True
             asyncio.get_running_loop().call_soon(self._step)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -71,13 +71,13 @@
             self.dropped += 1
             return
         self._came.append(data)
-        self.stir()
+        self.wake()
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is away answers so; its silence tells enough."""
 
     def _step(self) -> None:
-        self._stirred = False
+        self._woken = False
         if self._transport is None:
             return
         came, self._came = self._came, []
--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -17,13 +17,13 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from swiftwell.fronts.fastcgi import request as rq
+from swiftwell.fronts.fastcgi.pending import MAX_SILENT_SWEEPS
 from swiftwell.fronts.fastcgi.session import Aborted, Session, Whole, head
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.trigger import TOO_MANY, Answer, Kind, Trigger
 
 READ_BYTES = 65_536  # bytes taken in at once: four of the largest bodies
 MOST_UNSENT = 1 << 20  # bytes that wait for a client beyond which it does not read; one turn's answers on top
-SILENT_LOOKS = 8  # looks a new connection may say nothing whole for: 2 s, clients are owed a close within 3
 REFUSAL_STATUS = {TOO_MANY: 429}  # the status of a refusal by its reason; 503 for the others
 
 
@@ -67,7 +67,7 @@
         self._listener, self.stream, self.name = listener, stream, number
         self.session = Session()
         self.triggers: dict[int, Trigger] = {}
-        self.looks = 0  # since it came, or since something of it last ended
+        self.sweeps = 0  # since it came, or since something of it last ended
         self._out: list[bytes] = []
         self._closing = False
         self.ending = False  # nothing more is taken from it
@@ -106,7 +106,7 @@
                 self._whole(event)
             elif isinstance(event, Aborted):
                 self._aborted(event.number)
-        self.looks = 0 if self.session.asked else self.looks
+        self.sweeps = 0 if self.session.asked else self.sweeps
         if self.session.broken:
             self.finish()
         elif self.session.out:
@@ -166,7 +166,7 @@
     def answer(self, number: int, content: bytes) -> None:
         """The one answer to an open request."""
         self._closing |= not self.session.open.get(number, True)
-        self.looks = 0
+        self.sweeps = 0
         self._listener.used(self)
         self.send(self.session.answered(number, content))
 
@@ -195,14 +195,14 @@
         if self._closing and self.session.idle:
             self.finish()
 
-    def look(self) -> None:
+    def sweep(self) -> None:
         """Now and then: turn away what stays incomplete."""
-        self.looks += 1
-        self.session.look()
+        self.sweeps += 1
+        self.session.sweep()
         if self.session.out:
             self._listener.dirty(self)
         # One that never asked goes only while it is idle: its first request may be half read right now.
-        if self.session.broken or (self.idle and not self.session.asked and self.looks > SILENT_LOOKS):
+        if self.session.broken or (self.idle and not self.session.asked and self.sweeps > MAX_SILENT_SWEEPS):
             self.finish()
 
     def finish(self) -> None:
--- a/swiftwell/fronts/fastcgi/listener.py
+++ b/swiftwell/fronts/fastcgi/listener.py
@@ -23,9 +23,9 @@
 from swiftwell.fronts.fastcgi.pending import PendingConnections
 from swiftwell.fronts.host import Host
 
-LOOK_S = 0.25  # s between looks; counted in looks, a stall of ours is one look and closes nobody
+SWEEP_S = 0.25  # s between sweeps; silence is counted in sweeps: a stall of ours is one, and closes nobody
 LINGER_S = 0.5  # s that an ended connection waits for its client's close: some round trips and a slow read
-SHUT_LOOK_S = 0.01  # s between looks whether all connections have ended
+DRAIN_POLL_S = 0.01  # s between checks whether all connections have ended
 MOST_ENDING = 8  # such connections beyond the clients' descriptors: a third of the process's spare ones
 EVICTION_SCAN = 32  # connections looked at for one that is idle: bounds what a flood costs when none is
 MAX_REASONS = 64  # reasons of requests turned away that are counted apart
@@ -50,7 +50,7 @@
         self._dirty: dict[Connection, None] = {}
         self._tasks: set[asyncio.Task] = set()
         self._numbers = itertools.count(1)
-        self._sweeper = PeriodicCallback(self.look, LOOK_S * 1_000)
+        self._sweeper = PeriodicCallback(self.sweep, SWEEP_S * 1_000)
 
     def open(self, address: str, port: int) -> int:
         """Listen on this address only; the port.  Raises OSError."""
@@ -144,7 +144,7 @@
     def dirty(self, connection: Connection) -> None:
         """Something is to be written at the end of the turn."""
         self._dirty[connection] = None
-        self.host.stir()
+        self.host.wake()
 
     def flush(self) -> None:
         """The end of a turn: one write for each connection that has something."""
@@ -152,11 +152,11 @@
         for connection in dirty:
             connection.flush()
 
-    def look(self) -> None:
+    def sweep(self) -> None:
         """Now and then: silent connections and requests that stay incomplete."""
         self.pending.sweep()
         for connection in list(self.connections):
-            connection.look()
+            connection.sweep()
         self.flush()
         if len(self.turned) > MAX_REASONS:  # a line of each period tells them
             self.turned.clear()
@@ -177,7 +177,7 @@
         for connection in list(self.connections):
             connection.finish()
         while self.ending and time.monotonic() < until:
-            await asyncio.sleep(SHUT_LOOK_S)
+            await asyncio.sleep(DRAIN_POLL_S)
         self.close()
 
     def close(self) -> None:
--- a/swiftwell/fronts/fastcgi/session.py
+++ b/swiftwell/fronts/fastcgi/session.py
@@ -17,7 +17,7 @@
 MOST_PARAMS = 16_384  # bytes of a request's fields: theirs take a few hundred
 MOST_OPEN = 32  # requests open on a connection: the platform's word
 MOST_TURNED = 64  # numbers whose further records are passed over; one more is no client of ours
-LOOKS = 8  # looks of the listener that a request may stay incomplete for
+MAX_INCOMPLETE_SWEEPS = 8  # of the listener, for a request: 2 s
 
 
 @dataclass(slots=True, eq=False)
@@ -29,7 +29,7 @@
     params: bytearray = field(default_factory=bytearray)
     fields: dict[bytes, bytes] | None = None
     body: bytearray = field(default_factory=bytearray)
-    looks: int = 0
+    sweeps: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,18 +175,18 @@
             return b""
         return codec.answer(number, content)
 
-    def look(self) -> None:
-        """Now and then, at the listener's pace: what stays incomplete for `LOOKS` looks is turned away."""
+    def sweep(self) -> None:
+        """Now and then, at the listener's pace: what stays incomplete for too long is turned away."""
         try:
             for request in list(self._begun.values()):
-                request.looks += 1
-                if request.looks > LOOKS:
+                request.sweeps += 1
+                if request.sweeps > MAX_INCOMPLETE_SWEEPS:
                     self.turn(request.number, 408)
         except FastcgiError as error:
             self.broken = str(error)
         if self._decoder.partial:
             self._stuck += 1
-            if self._stuck > LOOKS:
+            if self._stuck > MAX_INCOMPLETE_SWEEPS:
                 self.broken = "a record that never ends"
 
     @property
--- a/swiftwell/fronts/host.py
+++ b/swiftwell/fronts/host.py
@@ -21,7 +21,7 @@
     def gone(self, source: str) -> None:
         """Nobody can be answered at this source any more."""
 
-    def stir(self) -> None:
+    def wake(self) -> None:
         """A turn is wanted: what a front has gathered goes out at its end."""
 
     def wall_ms(self) -> float:
--- a/swiftwell/gateway/turning.py
+++ b/swiftwell/gateway/event_loop.py
@@ -16,7 +16,7 @@
 from swiftwell.gateway.engine import Engine
 
 
-class Turning:
+class BatchingLoop:
     """What fronts and links see of the process that hosts them.
 
     `engine` and `link` are set by whoever joins the parts.
@@ -40,11 +40,11 @@
 
     def submit(self, trigger: Trigger) -> None:
         """Take a trigger."""
-        self.put(ports.Arrive(trigger))
+        self.enqueue(ports.Arrive(trigger))
 
     def gone(self, source: str) -> None:
         """A front's peer is gone for good."""
-        self.put(ports.Gone(source))
+        self.enqueue(ports.Gone(source))
 
     def wall_ms(self) -> float:
         """Anchored wall time."""
@@ -62,14 +62,14 @@
         """A line for the log."""
         self.logs.write(level, event, **fields)
 
-    # Turning.
+    # BatchingLoop.
 
-    def put(self, given: ports.Input) -> None:
+    def enqueue(self, given: ports.Input) -> None:
         """Something happened; the engine takes it in this turn of the loop."""
         self._inputs.append(given)
-        self.stir()
+        self.wake()
 
-    def stir(self) -> None:
+    def wake(self) -> None:
         """See to it that this turn has an end, also where the engine is told nothing in it."""
         if not self._stepping and not self.frozen:
             self._stepping = True
@@ -88,7 +88,7 @@
         finally:  # else one failure would end all turns
             self._stepping = False
             if self._inputs:
-                self.stir()
+                self.wake()
             self._arm()
 
     def _try(self, out: ports.Output) -> None:
@@ -99,9 +99,9 @@
             self.log("error", "output-failed", output=type(out).__name__, error=what)
             # What was begun and failed half-way still ends in the engine's books, else its call stays there.
             if isinstance(out, ports.Start):
-                self.put(ports.AttemptEnd(out.id, out.number, io.Status.ERROR, Ran.MAYBE))
+                self.enqueue(ports.AttemptEnd(out.id, out.number, io.Status.ERROR, Ran.MAYBE))
             elif isinstance(out, ports.Order):
-                self.put(ports.OrderEnd(out.number, io.Status.ERROR, 0))
+                self.enqueue(ports.OrderEnd(out.number, io.Status.ERROR, 0))
 
     def _stepped(self) -> None:
         """After the outputs of a turn: what was gathered goes out."""
@@ -120,7 +120,7 @@
         if not self._stepping:
             self._step()
 
-    def wake(self) -> None:
+    def resume(self) -> None:
         """Step after a rest."""
         self._timer = None
         self._step()
--- a/swiftwell/gateway/shell.py
+++ b/swiftwell/gateway/shell.py
@@ -42,9 +42,9 @@
 from swiftwell.gateway import ports
 from swiftwell.gateway.effects import Bounds, Ledger
 from swiftwell.gateway.engine import Engine, tables
+from swiftwell.gateway.event_loop import BatchingLoop
 from swiftwell.gateway.journal import Journal
 from swiftwell.gateway.logs import Logs
-from swiftwell.gateway.turning import Turning
 from swiftwell.handover import snapshot
 from swiftwell.handover.books import Books
 from swiftwell.http.http1 import Request, Response
@@ -65,7 +65,7 @@
 FLEET_AGAIN_S = 0.5  # s between two tries to open the fleet's socket
 
 
-class Gateway(Turning):
+class Gateway(BatchingLoop):
     """A running gateway.
 
     `make` builds the module's router; a benchmark puts another in its place.
@@ -138,7 +138,7 @@
             self.orders.ended(what)
         if isinstance(what, ports.Asked) and self.watch and self.watch.asked(what):
             return
-        self.put(what)
+        self.enqueue(what)
 
     # Start and end.
 
@@ -157,7 +157,7 @@
             self.engine.start_at(now, self.clock.wall_us())
             self.engine.believe(believed)
         self._go(fresh=True)
-        self.put(ports.Listed(io.Members(io.ListKind.DELTA, ())))  # the module sets its first timers
+        self.enqueue(ports.Listed(io.Members(io.ListKind.DELTA, ())))  # the module sets its first timers
 
     def take_over(self) -> None:
         """Own what `handover.state.restore` has put in; raises OSError."""
@@ -169,7 +169,7 @@
         if self.endpoint:
             self.endpoint.begin()
         self._go(fresh=False)
-        self.wake()
+        self.resume()
 
     @property
     def _has_effects(self) -> bool:
@@ -286,8 +286,8 @@
         return Journal(
             self._ledger_folder,
             lambda act: self._loop.add_callback(act),
-            lambda number: self.put(ports.Durable(number)),
-            lambda why: self.put(ports.LedgerDown(why)),
+            lambda number: self.enqueue(ports.Durable(number)),
+            lambda why: self.enqueue(ports.LedgerDown(why)),
             self.ledger.records,
         )
 
@@ -295,7 +295,7 @@
         workers = self.site.workers
         told = self._listed
         if workers.list:
-            told_saved = lambda entries: self.put(ports.Saved(entries))  # noqa: E731
+            told_saved = lambda entries: self.enqueue(ports.Saved(entries))  # noqa: E731
             self._service = sources.ListService(
                 workers.list.servers,
                 workers.list.service,
@@ -329,7 +329,7 @@
             self._tell_list(members)
 
     def _tell_list(self, members: io.Members) -> None:
-        self.put(ports.Listed(members))
+        self.enqueue(ports.Listed(members))
 
     async def _join_fleet(self) -> None:
         """Calls are served meanwhile, and without a fleet as well: nothing of them waits for it."""
@@ -388,7 +388,7 @@
             self._tasks.append(asyncio.ensure_future(self.watch.run()))
         looks: list[Callable[[], None]] = []
         if fleet.one_order:
-            self.orders = Orders(link, self.link.order, self.put)
+            self.orders = Orders(link, self.link.order, self.enqueue)
             looks.append(self.orders.look)
         if "cold" in fleet.budgets:
             looks.append(self._acting_by_part(link))
@@ -533,7 +533,7 @@
         self.log("info", "stopping", calls=self.engine.open)
         if self.endpoint:
             self.endpoint.stop_listening()
-        self.put(ports.Stop())
+        self.enqueue(ports.Stop())
         until = self.clock.now_us() + int(STOP_S * 1e6)
         while self.engine.open and self.clock.now_us() < until:
             await asyncio.sleep(0.02)
--- a/swiftwell/handover/state.py
+++ b/swiftwell/handover/state.py
@@ -342,7 +342,7 @@
         server.add_sockets(list(server._sockets.values()))
     gateway.link.hold(False)
     _sweeping(gateway, True)
-    gateway.wake()
+    gateway.resume()
 
 
 # Taking.
--- a/swiftwell/lab/emulator.py
+++ b/swiftwell/lab/emulator.py
@@ -104,7 +104,7 @@
                 for worker, (state, kind, started) in shown.items()
             )
         entries = self._shown
-        gateway.put(Listed(io.Members(io.ListKind.FULL, entries)))
+        gateway.enqueue(Listed(io.Members(io.ListKind.FULL, entries)))
 
     def forget(self, gateway: Gateway) -> None:
         """A gateway that starts asks for everything."""
--- a/swiftwell/lab/gateway.py
+++ b/swiftwell/lab/gateway.py
@@ -88,7 +88,7 @@
                 self.engine.start_at(world.now, world.wall())
                 self.engine.believe(believed)
         world.note("ready", "runner", gw=self.name, port=self.port)
-        self.put(ports.Listed(io.Members(io.ListKind.DELTA, ())))
+        self.enqueue(ports.Listed(io.Members(io.ListKind.DELTA, ())))
         self.list_now(self)
         if self.plan.books:
             world.after(crash.EVERY_US, self._write_books, self.life)
@@ -116,7 +116,7 @@
 
     # Turns.
 
-    def put(self, given: ports.Input) -> None:
+    def enqueue(self, given: ports.Input) -> None:
         """Something happened; taken in this turn of the loop, once the loop is free."""
         self._inputs.append(given)
         if not self._stepping:
@@ -182,7 +182,7 @@
             return
         self.disk += batch
         self._committing = False
-        self.put(ports.Durable(self.engine._writes - len(self._waiting)))
+        self.enqueue(ports.Durable(self.engine._writes - len(self._waiting)))
         self._flush()
 
     # The link to workers.
@@ -249,7 +249,7 @@
         worker = self._out.pop((id_, number), "")
         if worker:
             self._open[worker] -= 1
-        self.put(end)
+        self.enqueue(end)
 
     def _order(self, out: ports.Order) -> None:
         server, life, began = self._servers.get(out.worker), self.life, self.world.now
@@ -261,10 +261,10 @@
             state["over"] = True
             latency = self.world.now - began
             if answer is None:
-                self.put(ports.OrderEnd(out.number, status, 0, latency))
+                self.enqueue(ports.OrderEnd(out.number, status, 0, latency))
                 return
             found = {"": Status.OK, "full": Status.FULL, "draining": Status.FULL}
-            self.put(
+            self.enqueue(
                 ports.OrderEnd(
                     out.number, found.get(answer.verdict, Status.ERROR), answer.copies, latency,
                     answer.draining, answer.started_us, True,
@@ -293,7 +293,9 @@
             state["over"] = True
             heard = answer is not None and not answer.lost
             draining = bool(answer and answer.draining)
-            self.put(ports.Asked(out.worker, heard, draining, answer.started_us if answer and heard else 0))
+            self.enqueue(
+                ports.Asked(out.worker, heard, draining, answer.started_us if answer and heard else 0)
+            )
 
         if server is None or server.refuses():
             self.world.after(c.CONNECT_FAIL_US, end, None)
@@ -313,7 +315,7 @@
 
     def submit(self, trigger: Trigger) -> None:
         """Take a trigger, whose `ref` hears of its answer."""
-        self.put(ports.Arrive(trigger))
+        self.enqueue(ports.Arrive(trigger))
 
     def client_us(self) -> float:
         """A message's way between this gateway and a client or a broker."""
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -19,8 +19,8 @@
 from swiftwell.fronts.fastcgi.request import Contract
 from swiftwell.gateway import ports
 from swiftwell.gateway.engine import Engine, tables
+from swiftwell.gateway.event_loop import BatchingLoop
 from swiftwell.gateway.logs import Logs
-from swiftwell.gateway.turning import Turning
 from swiftwell.platform.limits import divide
 from swiftwell.settings import platform as config
 from swiftwell.settings.platform import ConfigError, Platform
@@ -40,7 +40,7 @@
 FIGURES_S = 5.0  # s between two lines of figures
 
 
-class Node(Turning):
+class Node(BatchingLoop):
     """A running router."""
 
     def __init__(self, told: Platform, file: str, logs: Logs) -> None:
@@ -52,7 +52,7 @@
         # No order is forgotten before the engine stops waiting: loads may take longer than the link's bound.
         order_s = max(ORDER_S, told.told.order_timeout_us / 1e6)
         bounds = RespBounds(share.workers, told.streams, told.dial_us / 1e6, told.idle_us / 1e6, order_s)
-        self.link = RespLink(bounds, self.addresses.get, self.put, self.log, self.addresses.ready)
+        self.link = RespLink(bounds, self.addresses.get, self.enqueue, self.log, self.addresses.ready)
         contract = Contract.of(told.told)
         self.front = Listener(self, contract, share.clients, lambda: self.healthy)
         frames = lambda: journal.Frames(told.zones, told.kinds)  # noqa: E731
@@ -97,7 +97,7 @@
     def _listed(self, event: journal.Event) -> None:
         for worker in self.addresses.take(event):
             self.link.gone(worker)
-        self.put(ports.Listed(journal.members(event, self.clock.started_us)))
+        self.enqueue(ports.Listed(journal.members(event, self.clock.started_us)))
 
     def _stepped(self) -> None:
         self.front.flush()
@@ -139,7 +139,7 @@
             await asyncio.sleep(TAKING_S)
             # Refused from here on: harmless for the client, and it ends.
             left = max(0.0, until - ANSWER_S - time.monotonic())
-            self.put(ports.Stop(self.clock.now_us() + int(left * 1e6)))
+            self.enqueue(ports.Stop(self.clock.now_us() + int(left * 1e6)))
             quiet = 0
             while quiet < 2 and time.monotonic() < until - END_S:
                 await asyncio.sleep(QUIET_S)
@@ -163,7 +163,7 @@
     def _sweep(self) -> None:
         self.link.sweep()
         self.logs.sweep()
-        self.stir()
+        self.wake()
 
     def _lag(self) -> None:
         now = time.monotonic()
--- a/swiftwell/sites/watch.py
+++ b/swiftwell/sites/watch.py
@@ -117,7 +117,7 @@
         for to, said in out.sends:
             node.say(to, NAME, _encode(said))
         if out.sends or out.words:
-            self._link.stir()
+            self._link.wake()
         for change in out.changes:
             self._tell(change)
         for site, why in out.notes:
@@ -164,7 +164,7 @@
         for member in node.members.alive():
             if member != node.told.me:
                 node.say(member, NAME, said)
-        self._link.stir()
+        self._link.wake()
         return ""
 
     def status(self) -> dict[str, object]:
--- a/swiftwell/starting/follow.py
+++ b/swiftwell/starting/follow.py
@@ -97,7 +97,7 @@
             self._log("info", "list-reader", reading=True, lease=holds)
         read = rows(members.entries, self._clock.wall_of)
         self._passing(lambda: self.zone.told(self._link.now_us(), int(self._clock.wall_ms()), read))
-        self._link.stir()
+        self._link.wake()
 
     def _passing(self, act: Callable[[], What | None]) -> What | None:
         try:
--- a/swiftwell/starting/orders.py
+++ b/swiftwell/starting/orders.py
@@ -70,7 +70,7 @@
         for to, word in sends:
             self._link.node.say(to, NAME, _encode(word))
         if sends:
-            self._link.stir()
+            self._link.wake()
         for act in acts:
             order = self._held.pop(act.number, None)
             if order is None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -40,6 +40,7 @@
 from swiftwell.discovery.journal import Client, Frames
 from swiftwell.fronts.fastcgi import codec
 from swiftwell.fronts.fastcgi import connection as fc
+from swiftwell.fronts.fastcgi.pending import MAX_SILENT_SWEEPS
 from swiftwell.fronts.trigger import Ran
 from swiftwell.gateway import ports
 from swiftwell.interface import Status
@@ -530,10 +531,10 @@
             front.writer.write(FIRST_BYTES)
             await until(lambda: node.front.connections)
             (one,) = node.front.connections
-            one.looks = fc.SILENT_LOOKS
+            one.sweeps = MAX_SILENT_SWEEPS
             front.writer.write(whole[:50])
             await until(lambda: not one.session.idle)
-            node.front.look()
+            node.front.sweep()
             front.writer.write(whole[50:])
             assert (await front.answer(1))[0] == 200
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -31,6 +31,7 @@
 from swiftwell.fronts.fastcgi import codec
 from swiftwell.fronts.fastcgi import connection as fc
 from swiftwell.fronts.fastcgi import listener as lis
+from swiftwell.fronts.fastcgi.pending import MAX_SILENT_SWEEPS
 from swiftwell.platform.limits import OWN, divide
 
 
@@ -188,7 +189,7 @@
 
 @pytest.mark.parametrize("name", BAD)
 def test_a_bad_client_gets_an_answer_or_a_close_and_no_worker_sees_it(tmp_path, monkeypatch, name):
-    monkeypatch.setattr(lis, "LOOK_S", 0.02)  # what is waited for 2 s on the platform comes after 0.2 s here
+    monkeypatch.setattr(lis, "SWEEP_S", 0.02)  # what is waited for 2 s on the platform comes after 0.2 s here
 
     async def main():
         async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
@@ -205,12 +206,12 @@
 
 
 def test_a_connection_that_has_asked_may_stay_without_asking(tmp_path, monkeypatch):
-    monkeypatch.setattr(lis, "LOOK_S", 0.02)
+    monkeypatch.setattr(lis, "SWEEP_S", 0.02)
 
     async def main():
         async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
             assert (await front.ask(1, fields(id_(1))))[0] == 200
-            await asyncio.sleep(0.02 * 4 * fc.SILENT_LOOKS)
+            await asyncio.sleep(0.02 * 4 * MAX_SILENT_SWEEPS)
             assert (await front.ask(2, fields(id_(2))))[0] == 200
 
     run(main())
@@ -347,7 +348,7 @@
                 return step(*given)
 
             node.engine.step = once
-            node.stir()
+            node.wake()
             await until(lambda: failed)
             assert (await front.ask(1, fields(id_(1))))[0] == 200
 
