Scale runs of hollow routers and a capacity page: swiftwell scale run and report

Need: docs/CAPACITY.md for 1,400 routers, 170,000 instances and 55,000 functions, backed by runs of the shipped code. swiftwell/scale has hollow routers (the decision module with its list, in virtual time, a process each), hollow members (membership over real datagrams, many in a process, with kills, SIGSTOP, cuts and loss between processes), a real router with hollow ends, and all routers' modules before cold workers. Rows are kept in one file, resumable; laws are fitted with their intervals, the largest size is predicted before it is run; a test fails when page and rows disagree. FleetLink.send is a method of its own, so that hollow members can lose datagrams.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test setup bytecode lint days trials
+.PHONY: demo test setup bytecode lint days trials scale
 demo: bytecode
 	$(BIN)/python -m swiftwell demo
 
@@ -32,6 +32,14 @@
 	$(BIN)/python -m benchmarks.fleet started --sizes 60 200 1000
 	$(BIN)/python -m swiftwell day run fleet-herd --json
 
+# Sizes up to the target, for docs/CAPACITY.md: about 25 minutes on eight cores; rows that are there are passed over.
+scale: bytecode
+	$(BIN)/python -m swiftwell scale run routing
+	$(BIN)/python -m swiftwell scale run membership
+	$(BIN)/python -m swiftwell scale run list
+	$(BIN)/python -m swiftwell scale run cold
+	$(BIN)/python -m swiftwell scale report
+
 days: bytecode
 	for day in days/*.kdl; do $(BIN)/python -m swiftwell day run $$day || exit 1; done
 
--- a/swiftwell/cli/main.py
+++ b/swiftwell/cli/main.py
@@ -25,6 +25,7 @@
     "fleet": ("swiftwell.cli.fleet", "fleet"),
     "lab": ("swiftwell.cli.lab", "lab"),
     "list": ("swiftwell.cli.lists", "list_"),
+    "scale": ("swiftwell.cli.scale", "scale"),
     "sites": ("swiftwell.cli.sites", "sites"),
     "standin": ("swiftwell.cli.standin", "standin"),
 }
--- a/swiftwell/fleet/link.py
+++ b/swiftwell/fleet/link.py
@@ -83,12 +83,17 @@
         came, self._came = self._came, []
         now = self.now_us()
         for to, raw in self.node.step(now, came):
-            self._transport.sendto(raw, self._addresses[to])
+            self.send(to, raw)
         self._tell(now)
         if self._tick:
             self._tick.cancel()
         self._tick = asyncio.get_running_loop().call_later(TICK_US / 1e6, self._step)
 
+    def send(self, to: int, raw: bytes) -> None:
+        """One datagram to a position of the roster."""
+        if self._transport is not None:
+            self._transport.sendto(raw, self._addresses[to])
+
     def _tell(self, now: int) -> None:
         """Log lines for what changed."""
         roster = self._told.roster
--- /dev/null
+++ b/swiftwell/scale/cases.py
@@ -0,0 +1,194 @@
+"""Cases of a scale run: their factors, the sizes of each, and the bounds of the machine.  No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass, fields, replace
+
+from swiftwell.scale.popularity import EXPONENT
+
+MAX_WORKERS = 200_000  # listed workers: the address of each instance, and some more
+MAX_FUNCTIONS = 1_000_000
+MAX_CALLS_PER_S = 5_000.0  # a router of the platform serves about 1,000
+MAX_CHANGES_PER_S = 1_000.0
+MAX_ROUTERS = 10_000  # told to the module, never started
+MAX_MEMBERS = 800  # members of a fleet in hollow processes: two in a hundred of the machine's memory
+MAX_PROCESSES = 20
+MAX_STRETCH = 20.0
+FLAT_EXPONENT = 1.05  # a law under which a router meets thousands of functions within a minute
+
+
+class CaseError(ValueError):
+    """A case that can't be run; the text names the factor and what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingCase:
+    """One router's decision module, with its list and calls, in virtual time."""
+
+    workers: int = 1_000
+    functions: int = 55_000
+    calls_per_s: float = 164.0
+    changes_per_s: float = 1.0
+    routers: int = 1_400
+    exponent: float = EXPONENT
+    seconds: float = 36.0
+    seed: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipCase:
+    """Members of a fleet in hollow processes over real datagrams.  `stretch` multiplies the period."""
+
+    members: int = 50
+    processes: int = 10
+    stretch: float = 1.0
+    loss: float = 0.0
+    fault: str = "kill"
+    seed: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ListCase:
+    """A real router process that is told its list at its start and follows changes over a real socket."""
+
+    workers: int = 1_000
+    functions: int = 55_000
+    calls_per_s: float = 164.0
+    changes_per_s: float = 1.0
+    seconds: float = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class ColdCase:
+    """Many routers' modules in one virtual time, while most of the workers are replaced by cold ones."""
+
+    routers: int = 20
+    workers: int = 40
+    seed: int = 1
+
+
+Case = RoutingCase | MembershipCase | ListCase | ColdCase
+KINDS: dict[str, type[Case]] = {
+    "routing": RoutingCase, "membership": MembershipCase, "list": ListCase, "cold": ColdCase,
+}  # fmt: skip
+FAULTS = ("kill", "stop", "cut")
+_LIMITS = {
+    "workers": (1, MAX_WORKERS), "functions": (1, MAX_FUNCTIONS), "calls_per_s": (0.1, MAX_CALLS_PER_S),
+    "changes_per_s": (0.0, MAX_CHANGES_PER_S), "routers": (1, MAX_ROUTERS), "seconds": (1.0, 600.0),
+    "members": (4, MAX_MEMBERS), "processes": (2, MAX_PROCESSES), "stretch": (0.05, MAX_STRETCH),
+    "loss": (0.0, 0.5), "seed": (0, 2**31), "exponent": (0.1, 3.0),
+}  # fmt: skip
+_WORKERS = (120, 1_000, 4_000, 10_000, 40_000)
+_FACTORS = {
+    "functions": (1_000, 10_000, 55_000, 200_000),
+    "exponent": (1.05, 1.2, 1.4, 1.6),
+    "calls_per_s": (20.0, 164.0, 500.0, 1_500.0),
+    "changes_per_s": (0.0, 1.0, 10.0, 100.0),
+    "routers": (3, 60, 200, 1_400),
+}
+_CORNERS = ((120, 100.0), (10_000, 0.0), (10_000, 100.0))  # workers and changes, which matter most together
+_LIST_SIZES = (120, 1_000, 4_000, 10_000)
+
+
+def kind_of(case: Case) -> str:
+    """The name of a case's kind."""
+    return next(name for name, made in KINDS.items() if isinstance(case, made))
+
+
+def make(kind: str, given: dict[str, object]) -> Case:
+    """A case from its factors; raises CaseError."""
+    if kind not in KINDS:
+        raise CaseError(f"kind {kind!r}: expected one of {', '.join(KINDS)}")
+    known = {field.name: field for field in fields(KINDS[kind])}
+    values: dict[str, object] = {}
+    for name, value in given.items():
+        if name not in known:
+            raise CaseError(f"{name!r} is no factor of {kind}: expected one of {', '.join(known)}")
+        values[name] = _value(name, value, known[name].default)
+    case = KINDS[kind](**values)  # type: ignore[arg-type]
+    if isinstance(case, MembershipCase) and case.members < case.processes:
+        raise CaseError(
+            f"members: {case.members} in {case.processes} processes, expected one in each at least"
+        )
+    return case
+
+
+def _value(name: str, value: object, default: object) -> object:
+    if name == "fault":
+        if value not in FAULTS:
+            raise CaseError(f"fault: {value!r}, expected one of {', '.join(FAULTS)}")
+        return value
+    try:
+        found = type(default)(value)  # type: ignore[call-arg]
+    except (TypeError, ValueError):
+        raise CaseError(f"{name}: {value!r}, expected a number") from None
+    least, most = _LIMITS[name]
+    if not least <= found <= most:
+        raise CaseError(f"{name}: {value}, expected {least:,} to {most:,} on this machine")
+    return found
+
+
+def key(case: Case) -> str:
+    """A case's name among results."""
+    factors = ",".join(f"{name}={value}" for name, value in asdict(case).items())
+    return f"{kind_of(case)}:{factors}"
+
+
+def workers_plan() -> list[RoutingCase]:
+    """Sizes of the list under two laws of popularity, and the corners of list and changes."""
+    base = RoutingCase()
+    sizes = [replace(base, workers=workers) for workers in _WORKERS]
+    flat = [replace(base, workers=workers, exponent=FLAT_EXPONENT) for workers in _WORKERS[:-1]]
+    corners = [replace(base, workers=workers, changes_per_s=changes) for workers, changes in _CORNERS]
+    return sizes + flat + corners
+
+
+def routing_plan() -> list[RoutingCase]:
+    """The sizes of the list, and each other factor by itself."""
+    base = RoutingCase()
+    others = [replace(base, **{factor: size}) for factor, sizes in _FACTORS.items() for size in sizes]
+    return list(dict.fromkeys(workers_plan() + others))
+
+
+def membership_plan() -> list[MembershipCase]:
+    """Sizes in real time, one stretched beside its twin, and the faults."""
+    sizes = [MembershipCase(members=members) for members in (50, 100, 200)]
+    stretched = [MembershipCase(members=members, stretch=4.0) for members in (200, 400)]
+    faults = [
+        MembershipCase(members=100, fault="stop"),
+        MembershipCase(members=100, fault="cut"),
+        MembershipCase(members=100, loss=0.05),
+    ]
+    return sizes + stretched + faults
+
+
+def list_plan() -> list[ListCase]:
+    """Sizes of the list at a real router, and of its changes."""
+    return [ListCase(workers=workers) for workers in _LIST_SIZES] + [
+        ListCase(workers=4_000, changes_per_s=changes) for changes in (10.0, 100.0)
+    ]
+
+
+def cold_plan() -> list[ColdCase]:
+    """Ten seeds of small fleets, some of large ones."""
+    plan = [ColdCase(routers, seed=seed) for routers in (3, 20, 30) for seed in range(1, 11)]
+    return plan + [ColdCase(200, seed=seed) for seed in range(1, 4)]
+
+
+def small_plan() -> list[Case]:
+    """What CI plays within seconds."""
+    return [
+        RoutingCase(workers=60, functions=200, seconds=3.0),
+        RoutingCase(workers=400, functions=200, seconds=3.0),
+        MembershipCase(members=8, processes=2, stretch=0.2),
+        ListCase(workers=50, seconds=2.0),
+        ColdCase(routers=3, workers=6),
+    ]
+
+
+PLANS: dict[str, Callable[[], Sequence[Case]]] = {
+    "small": small_plan, "workers": workers_plan, "routing": routing_plan, "membership": membership_plan,
+    "cold": cold_plan,
+    "list": list_plan,
+}  # fmt: skip
--- /dev/null
+++ b/swiftwell/scale/hollow_members.py
@@ -0,0 +1,136 @@
+"""A process with many hollow members of a fleet: the shipped membership code over real datagrams.
+
+    python -m swiftwell.scale.hollow_members '{"first": 0, "count": 5, "ports": [...], ...}'
+
+Commands come as JSON lines on standard input, each is answered by one line: `stats` with the living members,
+`cut` with those that are not to be reached, `loss` with a share of datagrams.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import resource
+import sys
+import time
+from dataclasses import dataclass
+
+import psutil
+
+from swiftwell.fleet.link import FleetLink
+from swiftwell.fleet.node import FleetSettings
+
+HOST = "127.0.0.1"
+
+
+class HollowLink(FleetLink):
+    """A fleet link whose datagrams are counted, lost and cut as told."""
+
+    def __init__(self, told: FleetSettings, ports: list[int], faults: Faults) -> None:
+        addresses = tuple((HOST, port) for port in ports)
+        super().__init__(told, addresses[told.me], addresses, lambda *args, **fields: None)
+        self._faults, self.datagrams, self.bytes = faults, 0, 0
+
+    def send(self, to: int, raw: bytes) -> None:
+        """One datagram."""
+        self.datagrams += 1
+        self.bytes += len(raw)
+        if not self._faults.drops(to):
+            super().send(to, raw)
+
+
+class Faults:
+    """What is lost between members."""
+
+    def __init__(self, seed: int) -> None:
+        self._chance = random.Random(seed)
+        self.loss, self.cut = 0.0, frozenset[int]()
+
+    def drops(self, to: int) -> bool:
+        """Whether a datagram is lost on its way."""
+        return to in self.cut or self._chance.random() < self.loss
+
+
+@dataclass(frozen=True, slots=True)
+class Stats:
+    """Sums over the members of a process."""
+
+    members: int
+    right: int  # whose view is that of who lives
+    missing: int  # living ones that views don't hold
+    lingering: int  # dead ones that views still hold
+    died: int  # times that a member was taken for dead
+    datagrams: int
+    bytes: int
+    cpu_s: float
+    memory_mb: float
+
+
+class Host:
+    """All members of this process."""
+
+    def __init__(
+        self, first: int, count: int, ports: list[int], period_us: int, loss: float, seed: int
+    ) -> None:
+        names = tuple(f"m-{number}" for number in range(len(ports)))
+        self.faults = Faults(seed)
+        self.faults.loss = loss
+        self.links = [
+            HollowLink(FleetSettings(names, me, period_us=period_us), ports, self.faults)
+            for me in range(first, first + count)
+        ]
+
+    async def run(self) -> None:
+        """Until standard input ends."""
+        for link in self.links:
+            await link.start()
+        reader = asyncio.StreamReader()
+        await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+        )
+        while line := await reader.readline():
+            print(json.dumps(self._command(json.loads(line))), flush=True)
+
+    def _command(self, command: dict) -> dict:
+        match command:
+            case {"stats": living}:
+                return _plain(self._stats(set(living)))
+            case {"cut": members}:
+                self.faults.cut = frozenset(members)
+        return {}
+
+    def _stats(self, living: set[int]) -> Stats:
+        right = missing = lingering = 0
+        for link in self.links:
+            view = set(link.node.members.alive())
+            right += view == living
+            missing += len(living - view)
+            lingering += len(view - living)
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return Stats(
+            members=len(self.links),
+            right=right,
+            missing=missing,
+            lingering=lingering,
+            died=sum(link.node.members.counts["died"] for link in self.links),
+            datagrams=sum(link.datagrams for link in self.links),
+            bytes=sum(link.bytes for link in self.links),
+            cpu_s=usage.ru_utime + usage.ru_stime,
+            memory_mb=psutil.Process().memory_info().rss / 1e6,
+        )
+
+
+def _plain(stats: Stats) -> dict[str, float]:
+    return {name: getattr(stats, name) for name in Stats.__slots__}
+
+
+def main() -> int:
+    """One process of members."""
+    print(json.dumps({"at": time.time()}), flush=True)
+    asyncio.run(Host(**json.loads(sys.argv[1])).run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/swiftwell/scale/report.py
@@ -0,0 +1,222 @@
+"""Tables of docs/CAPACITY.md from the committed rows: each stands between two marks and is made anew here."""
+
+from __future__ import annotations
+
+import re
+import statistics
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from swiftwell.scale import ranking, slopes
+from swiftwell.scale.cases import FLAT_EXPONENT, ListCase, RoutingCase
+from swiftwell.scale.results import Row
+from swiftwell.scale.target import TARGET
+
+BASE = RoutingCase()
+ROUTING = {name: getattr(BASE, name) for name in RoutingCase.__slots__}
+LIST = {name: getattr(ListCase(), name) for name in ListCase.__slots__}
+BUILDS = ("before", "after")
+_MARK = re.compile(r"(<!-- scale:(?P<name>[a-z-]+) -->\n).*?(<!-- /scale -->)", re.DOTALL)
+
+
+class ReportError(ValueError):
+    """A page whose marks can't be filled; the text names the mark."""
+
+
+def fill(page: str, rows: Sequence[Row]) -> str:
+    """The page with every marked table made anew; raises ReportError."""
+
+    def filled(match: re.Match[str]) -> str:
+        make = TABLES.get(match["name"])
+        if make is None:
+            raise ReportError(f"scale:{match['name']}: expected one of {', '.join(TABLES)}")
+        return match[1] + make(rows) + "\n" + match[3]
+
+    return _MARK.sub(filled, page)
+
+
+def table(head: Sequence[str], lines: Sequence[Sequence[object]]) -> str:
+    """A Markdown table."""
+    out = ["| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
+    return "\n".join(out + ["| " + " | ".join(map(str, line)) + " |" for line in lines])
+
+
+def number(value: float) -> str:
+    """Three digits, and no more than that says anything."""
+    if value == 0 or abs(value) >= 1_000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def of(rows: Sequence[Row], build: str) -> list[Row]:
+    """The rows of one build."""
+    return [row for row in rows if row.build == build]
+
+
+def routing(rows: Sequence[Row]) -> str:
+    """Both builds by the size of the list."""
+    lines = []
+    for exponent in (BASE.exponent, FLAT_EXPONENT):
+        fixed = ROUTING | {"exponent": exponent}
+        for build in BUILDS:
+            for row in slopes.along(of(rows, build), "routing", "workers", fixed):
+                v = row.values
+                lines.append(
+                    (build, exponent, f"{row.factors['workers']:,}", number(v["call_us"]),
+                     number(v["call_p99_us"]), number(v["change_us"]), number(v["list_us"] / 1e3),
+                     number(v["cores"]), number(v["memory_mb"]), v["workers_used"], v["functions_seen"])
+                )  # fmt: skip
+    head = ("build", "exponent", "workers listed", "call, us", "its p99, us", "change of the list, us",
+            "whole list, ms", "cores", "memory, MB", "workers used", "functions seen")  # fmt: skip
+    return table(head, lines)
+
+
+def factors(rows: Sequence[Row]) -> str:
+    """The landed build by each other factor, one at a time."""
+    lines = []
+    for factor in ("functions", "exponent", "calls_per_s", "changes_per_s", "routers"):
+        for row in slopes.along(of(rows, "after"), "routing", factor, ROUTING):
+            v = row.values
+            lines.append(
+                (factor, f"{row.factors[factor]:,}", number(v["call_us"]), number(v["change_us"]),
+                 number(v["cores"]), number(v["memory_mb"]), v["workers_used"])
+            )  # fmt: skip
+    head = ("factor", "size", "call, us", "change of the list, us", "cores", "memory, MB", "workers used")
+    return table(head, lines)
+
+
+def corners(rows: Sequence[Row]) -> str:
+    """Workers and changes together."""
+    lines = []
+    for build in BUILDS:
+        for workers in (120, 10_000):
+            for changes in (0.0, 1.0, 100.0):
+                fixed = ROUTING | {"workers": workers, "changes_per_s": changes}
+                for row in slopes.along(of(rows, build), "routing", "workers", fixed)[:1]:
+                    lines.append(
+                        (build, f"{workers:,}", number(changes), number(row.values["call_us"]),
+                         number(row.values["change_us"]), number(row.values["cores"]))
+                    )  # fmt: skip
+    head = ("build", "workers listed", "changes a second", "call, us", "change, us", "cores")
+    return table(head, lines)
+
+
+def laws(rows: Sequence[Row]) -> str:
+    """The laws of both builds by the size of the list, with what they say of the target."""
+    lines = []
+    for build in BUILDS:
+        found = slopes.along(of(rows, build), "routing", "workers", ROUTING)
+        for quantity in ("call_us", "change_us", "list_us", "cores", "memory_mb", "workers_used"):
+            one = slopes.slope(found, "workers", quantity)
+            if one is None:
+                continue
+            fit = one.fit
+            interval = f"{number(fit.slope_low)} to {number(fit.slope_high)}"
+            lines.append(
+                (build, quantity, fit.law, f"{number(fit.slope)} ({interval})",
+                 f"{fit.miss:.0%}", number(fit.at(TARGET.workers)), number(fit.at(TARGET.instances)))
+            )  # fmt: skip
+    head = ("build", "quantity", "law", "slope (95 in 100)", "miss", f"at {TARGET.workers:,} workers",
+            f"at {TARGET.instances:,}")  # fmt: skip
+    return table(head, lines)
+
+
+def predictions(rows: Sequence[Row]) -> str:
+    """What was predicted of the largest size before it was run, and the miss."""
+    lines = []
+    for row in rows:
+        for quantity, value in row.predicted.items():
+            measured = row.values[quantity]
+            miss = f"{value / measured - 1:+.0%}" if measured else "-"
+            lines.append(
+                (row.build, f"{row.factors['workers']:,}", quantity, number(value), number(measured), miss)
+            )
+    return table(("build", "workers", "quantity", "predicted", "measured", "miss"), lines)
+
+
+def membership(rows: Sequence[Row]) -> str:
+    """Costs and times of hollow members."""
+    lines = []
+    for row in sorted(of(rows, "after"), key=lambda row: str(row.factors.get("fault"))):
+        if row.kind != "membership":
+            continue
+        f, v = row.factors, row.values
+        lines.append(
+            (f["members"], f["fault"], f"{f['loss']:.0%}", f"x{f['stretch']:g}", _time(v["views_s"]),
+             _time(v["known_s"]), _time(v["healed_s"]), f"{v['right_at_end']:.0%}", number(v["cores"]),
+             number(v["datagrams_per_s"]), number(v["bytes_per_s"]), number(v["worst_second_bytes"]),
+             number(v["memory_mb"]), v["false_deaths"])
+        )  # fmt: skip
+    head = ("members", "fault", "loss", "period", "all views right, s", "fault known to all, s", "healed, s",
+            "right at the end", "cores", "datagrams/s", "bytes/s", "worst bytes/s", "memory, MB",
+            "taken for dead before the fault")  # fmt: skip
+    return table(head, lines)
+
+
+def _time(seconds: float) -> str:
+    return "never" if seconds < 0 else number(seconds)
+
+
+def real(rows: Sequence[Row]) -> str:
+    """A real router process by its list, with the hollow one of the same size beside it."""
+    lines = []
+    for row in of(rows, "after"):
+        if row.kind != "list":
+            continue
+        f, v = row.factors, row.values
+        fixed = ROUTING | {"workers": f["workers"], "changes_per_s": f["changes_per_s"]}
+        hollow = slopes.along(of(rows, "after"), "routing", "workers", fixed)[:1]
+        ratio = number(v["call_us"] / hollow[0].values["call_us"]) if hollow else "-"
+        lines.append(
+            (f"{f['workers']:,}", number(f["changes_per_s"]), number(v["start_s"]), f"{v['in_time']:.1%}",
+             number(v["cores"]), number(v["call_us"]), ratio, number(v["memory_mb"]),
+             number(v["list_bytes_per_s"]), v["descriptors"])
+        )  # fmt: skip
+    head = ("workers listed", "changes a second", "start, s", "served", "cores", "call, us",
+            "ratio to hollow", "memory, MB", "list bytes/s", "descriptors")  # fmt: skip
+    return table(head, lines)
+
+
+def cold(rows: Sequence[Row]) -> str:
+    """What the worst cold worker of each play got, over the seeds of a size."""
+    plays: dict[int, list[dict[str, float]]] = {}
+    for row in of(rows, "after"):
+        if row.kind == "cold":
+            plays.setdefault(row.factors["routers"], []).append(row.values)
+    lines = []
+    for routers, found in sorted(plays.items()):
+        worst = sorted(one["worst_excess"] for one in found)
+        lines.append(
+            (routers, len(found), " ".join(f"{one:.1f}" for one in worst),
+             number(max(one["worst_of_limit"] for one in found)), int(sum(one["falls"] for one in found)),
+             number(statistics.fmean(one["used"] for one in found)))
+        )  # fmt: skip
+    head = ("routers", "plays", "(calls - N) / root N at the worst cold worker, by play",
+            "most calls over N + 2 root N + 2", "falls", "budget used, mean")  # fmt: skip
+    return table(head, lines)
+
+
+def first_ranking(rows: Sequence[Row]) -> str:
+    """The ranking of the build before."""
+    return ranking.table_of(rows, "before", table, number)
+
+
+def last_ranking(rows: Sequence[Row]) -> str:
+    """The ranking of this build."""
+    return ranking.table_of(rows, "after", table, number)
+
+
+TABLES: dict[str, Callable[[Sequence[Row]], str]] = {
+    "routing": routing, "factors": factors, "corners": corners, "laws": laws, "predictions": predictions,
+    "membership": membership, "real": real, "cold": cold,
+    "ranking-before": first_ranking, "ranking": last_ranking,
+}  # fmt: skip
+
+
+def write(page: Path, rows: Sequence[Row]) -> bool:
+    """Fill a page; whether it changed.  Raises OSError, ReportError."""
+    text = page.read_text(encoding="utf-8")
+    made = fill(text, rows)
+    if made != text:
+        page.write_text(made, encoding="utf-8")
+    return made != text
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,124 @@
+"""Scale runs: cases and their errors, fits, rows, the page, and a small run with real processes."""
+
+import random
+from dataclasses import asdict
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from swiftwell.cli.scale import PAGE, RESULTS, scale
+from swiftwell.scale import cases, fits, report, results, runner, slopes
+from swiftwell.scale.popularity import Popularity
+
+ROOT = Path(__file__).resolve().parent.parent
+QUICK = cases.RoutingCase(workers=30, functions=50, seconds=1.0)
+
+
+def invoke(*words):
+    return CliRunner().invoke(scale, list(words))
+
+
+@pytest.mark.parametrize(
+    "words, named",
+    [
+        (("routing", "wokers=5"), "wokers"),
+        (("routing", "workers=many"), "workers: 'many', expected a number"),
+        (("routing", "workers=9000000"), "workers: 9000000, expected 1 to 200,000"),
+        (("routing", "workers"), "FACTOR=SIZE"),
+        (("membership", "members=5000"), "members: 5000, expected 4 to 800"),
+        (("membership", "members=5"), "5 in 10 processes"),
+        (("membership", "fault=flood"), "expected one of kill, stop, cut"),
+        (("everything",), "'everything': expected one of small, "),
+        (("small", "--root", "/nowhere"), "--root: /nowhere"),
+    ],
+)
+def test_bad_input_is_one_clear_error_and_nothing_is_started(tmp_path, monkeypatch, words, named):
+    monkeypatch.setattr(runner, "play", lambda *_: pytest.fail("a case was started"))
+    done = invoke("run", *words, "--file", str(tmp_path / "rows.jsonl"))
+    assert done.exit_code == 2 and named in done.output and len(done.output.splitlines()) == 1
+    assert not list(tmp_path.iterdir())
+
+
+def test_a_spoilt_result_file_is_named_with_its_line(tmp_path):
+    file = tmp_path / "rows.jsonl"
+    file.write_text('{"build": 1}\n')
+    done = invoke("report", "--file", str(file))
+    assert done.exit_code == 2 and f"{file}:1" in done.output
+
+
+def test_the_committed_page_holds_what_the_committed_rows_say():
+    rows = results.read(ROOT / RESULTS)
+    text = (ROOT / PAGE).read_text(encoding="utf-8")
+    assert rows and report.fill(text, rows) == text
+
+
+def test_a_page_that_differs_from_its_rows_is_found(tmp_path):
+    rows = results.read(ROOT / RESULTS)
+    page = tmp_path / "page.md"
+    page.write_text(report.fill("<!-- scale:routing -->\n<!-- /scale -->\n", rows).replace("|", "!", 1))
+    assert invoke("report", "--check", "--file", str(ROOT / RESULTS), "--page", str(page)).exit_code == 1
+    with pytest.raises(report.ReportError, match="scale:nothing"):
+        report.fill("<!-- scale:nothing -->\n<!-- /scale -->", rows)
+
+
+@pytest.mark.parametrize("law", [law for law in fits.LAWS if law != "constant"])
+def test_the_law_that_made_the_figures_is_found(law):
+    sizes = [50, 100, 200, 400, 800, 1_600]
+    values = [3.0 + 0.5 * fits.LAWS[law](size) for size in sizes]
+    found = fits.best(sizes, values)
+    assert found.law == law and found.slope == pytest.approx(0.5, rel=1e-3)
+    assert found.crossing(values[3], 10_000) == pytest.approx(400, rel=1e-3)
+    assert found.crossing(1e18, 10_000) == float("inf")
+
+
+def test_an_interval_widens_with_what_the_figures_miss():
+    chance, sizes = random.Random(1), [50, 100, 200, 400, 800]
+    exact = fits.fit(sizes, [2.0 * size for size in sizes], "linear")
+    noisy = fits.fit(sizes, [2.0 * size * chance.uniform(0.8, 1.2) for size in sizes], "linear")
+    assert exact.slope_high - exact.slope_low < 0.01 < noisy.slope_high - noisy.slope_low
+    assert noisy.slope_low <= 2.0 <= noisy.slope_high
+
+
+def test_most_functions_are_rare_at_the_target():
+    assert Popularity(55_000).rare_share(230_000) == pytest.approx(0.69, abs=0.01)
+
+
+def test_a_hollow_router_serves_its_calls_and_is_the_same_each_time():
+    one, other = runner.play(QUICK), runner.play(QUICK)
+    assert one["calls"] > 100 and one["served"] > 0.9 * one["calls"]
+    same = ("calls", "served", "workers_used", "functions_seen", "order_entries")
+    assert [one[name] for name in same] == [other[name] for name in same]
+
+
+def test_rows_are_kept_and_a_case_that_is_there_is_passed_over(tmp_path):
+    file, said = tmp_path / "rows.jsonl", []
+    assert runner.play_all([QUICK], file, "after", ".", said.append) == 1
+    assert runner.play_all([QUICK], file, "after", ".", said.append) == 0
+    (row,) = results.read(file)
+    assert row == said[0] and row.factors == asdict(QUICK) and row.key == results.name("after", QUICK)
+
+
+def test_a_large_size_is_predicted_from_smaller_ones_before_it_is_run():
+    base = cases.RoutingCase()
+    rows = [
+        results.Row("after", "", "", "routing", asdict(base) | {"workers": workers},
+                    dict.fromkeys(slopes.PREDICTED, 2.0 * workers), {})
+        for workers in (100, 1_000, 10_000)
+    ]  # fmt: skip
+    told = slopes.predict(cases.RoutingCase(workers=40_000), rows)
+    assert told["call_us"] == pytest.approx(80_000, rel=0.01) and set(told) == set(slopes.PREDICTED)
+    assert slopes.predict(cases.RoutingCase(workers=4_000), rows) == {}
+
+
+@pytest.mark.parametrize("fault", cases.FAULTS)
+def test_members_in_several_processes_see_a_fault_between_them_and_its_end(fault):
+    told = runner.play(cases.MembershipCase(members=8, processes=2, stretch=0.2, fault=fault))
+    assert told["views_s"] > 0 and told["known_s"] > 0 and told["healed_s"] >= 0
+    assert told["right_at_end"] == 1.0 and told["datagrams_per_s"] > 0
+
+
+def test_a_real_router_follows_a_hollow_list_and_serves():
+    told = runner.play(cases.ListCase(workers=40, changes_per_s=5.0, calls_per_s=40.0, seconds=2.0))
+    assert told["calls"] > 50 and told["in_time"] > 0.9 and told["changes"] >= 5
+    assert told["list_bytes_per_s"] > 0 and told["memory_mb"] > 0
