Preferred workers are found on a ring among 128 candidates, not in the sorted order of all

Cause, confirmed by a profile at 10,000 workers and by the rows of the build before: choice._reach sorted all ready workers by a hash for each function and kept two lists of them (Function.shared, Function.order), anew after each change of the list; _members copied all entries for each change; Worker.tidy made three dicts a second for each worker. Ruled out: what grows with functions or calls alone (rows by factor).

Changed: ready workers stand on a ring by their hash (placement.py, a policy file); a function's candidates are the 128 that follow its own hash, two for each home where it has more, ordered by the same rendezvous hash as before. Up to 128 workers the order is that of before. A change of the list is one search; an order of over 128 is made anew once a second at most.

--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -10,10 +10,12 @@
 import heapq
 import math
 from collections import deque
+from operator import attrgetter
 
 from swiftwell import interface as io
 from swiftwell import records as rec
 from swiftwell.interface import Effect, ListKind, State, Status
+from swiftwell.placement import CANDIDATES, SPLIT, Ring
 
 FIRST_CAP, MOST_CAP = 4.0, 16.0  # requests of ours in flight at a worker: at first, and at most
 CAP_STEP = 0.3  # requests: how far one outcome moves a worker's cap
@@ -45,7 +47,6 @@
 ORDERS, MOST_ORDERS = 0.1, 10.0  # orders per call taken, and saved up at most: as further attempts
 TURNS = 0.75  # of the told multiple that all turns at a starting worker come to: the rest is for chance
 STILL_US = 50_000  # us that a timer may come late before we take it that we stood still ourselves
-SPLIT = 0x9E3779B97F4A7C15  # 2**64 over the golden ratio: scatters hashes
 SWEEP_US = 1_000_000  # us between looks at paces and old records, and between calls to a failing discovery
 
 
@@ -54,6 +55,8 @@
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
         super().__init__(settings, seed)
+        self.ring = Ring()
+        self.ready = self.ring.workers
         self.takers = {io.Request: self._request, io.Outcome: self._outcome}
         self.takers |= {io.Loaded: self._loaded, io.Members: self._members}
         self.retries = rec.Budget(RETRY_BURST, RETRY_BURST)
@@ -85,12 +88,10 @@
         if event.how is ListKind.FAILED:  # the old list holds; ask again, but not at once
             self._after(SWEEP_US, self._watch)
             return
-        for entry in rec.listed(event, [worker.entry for worker in self.workers.values()]):
-            self._entry(entry)
+        self.ring.update([self._entry(entry) for entry in rec.listed(event, self.workers)])
         self.listing += 1
-        self.ready = [worker for worker in self.workers.values() if worker.ready]
 
-    def _entry(self, entry: io.WorkerEntry) -> None:
+    def _entry(self, entry: io.WorkerEntry) -> rec.Worker:
         worker = self.workers.get(entry.worker)
         warm_at = entry.started_us + self.told.cold_us if entry.started_us else 0
         if worker is None:
@@ -101,9 +102,10 @@
         elif entry.started_us != worker.entry.started_us:  # beliefs die with the process
             self._forget(worker)
             worker.rest_until, worker.pace_at, worker.cap, worker.warm_at = 0, 0, FIRST_CAP, warm_at
-        worker.entry = entry
+        worker.entry, worker.rank = entry, (entry.zone != self.told.zone, -worker.order)
         if entry.state is State.GONE:
             self._forget(worker)
+        return worker
 
     def _request(self, request: io.Request) -> None:
         band, function = self.bands[request.band], self.functions.get(request.function)
@@ -232,7 +234,7 @@
         """
         function, seats = call.function, []
         need = self._reach(function, self._usual(call)) + (self.now - call.arrived > LOOK_US)
-        for worker in function.order[: function.homes + PASSES]:
+        for worker in function.order:
             if self._fit(call, worker):
                 seats.append(worker)
             if len(seats) == need:
@@ -250,12 +252,12 @@
         part = calls / (self.traffic.per_us(self.now) * RATE_US + DOUBT)
         homes = min(SPREAD * part * len(self.ready), lanes * self.told.routers)
         homes = 1 << math.ceil(math.log2(max(1.0, homes, lanes)))  # in steps, so that seats seldom move
-        if function.listing != self.listing:
-            function.listing, function.homes = self.listing, 0
-            function.shared = sorted(self.ready, key=lambda w: (w.key ^ function.key) * SPLIT % 2**64)
-        if function.homes != homes:
-            ours = sorted(function.shared[:homes], key=lambda w: (w.entry.zone != self.told.zone, -w.order))
-            function.homes, function.order = homes, ours + function.shared[homes:]
+        # An order of many is made anew once a period at most: what has gone is not fit, what comes can wait.
+        due = min(homes, len(self.ready)) <= CANDIDATES or self.now >= function.ordered_at + SWEEP_US
+        if function.homes != homes or (function.listing != self.listing and due):
+            function.listing, function.homes, function.ordered_at = self.listing, homes, self.now
+            shared = self.ring.preferred(function.key, homes + PASSES)
+            function.order = sorted(shared[:homes], key=attrgetter("rank")) + shared[homes:]
         return max(1, math.ceil(lanes))
 
     def _fits(self, worker: rec.Worker, function: rec.Function) -> bool:
--- a/swiftwell/handover/snapshot.py
+++ b/swiftwell/handover/snapshot.py
@@ -304,8 +304,9 @@
         )
         if b.turns:
             worker.turns = rec.Turns(*b.turns)
+        worker.rank = (worker.entry.zone != router.told.zone, -worker.order)
         router.workers[b.worker] = worker
-    router.ready = [worker for worker in router.workers.values() if worker.ready]
+    router.ring.update(list(router.workers.values()))
     router.listing = 1
     for f in books.functions:
         function = rec.Function(f.name, rec.stable_hash(f.name), f.load_us, rec.Rate(RATE_US, f.total, f.at))
--- a/swiftwell/records.py
+++ b/swiftwell/records.py
@@ -16,12 +16,13 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
-def listed(event: io.Members, known: list[io.WorkerEntry]) -> list[io.WorkerEntry]:
+def listed(event: io.Members, known: dict[str, Worker]) -> list[io.WorkerEntry]:
     """The entries an update changes; a worker that a full list leaves out has gone."""
     entries = list(event.entries)
     if event.how is not io.ListKind.DELTA:
         named = {entry.worker for entry in entries}
-        entries += [replace(e, state=io.State.GONE) for e in known if e.worker not in named]
+        left = [worker.entry for name, worker in known.items() if name not in named]
+        entries += [replace(entry, state=io.State.GONE) for entry in left]
     return entries
 
 
@@ -152,10 +153,10 @@
     lanes: int = 1
     coming: int = 0
     holders: dict[str, Worker] = field(default_factory=dict)  # believed to hold a copy
-    listing: int = -1  # the listing that `shared` was made from
-    shared: list[Worker] = field(default_factory=list)  # workers in the order of all routers
-    homes: int = 0  # so many of them are homes
-    order: list[Worker] = field(default_factory=list)  # the homes in our own order, then the others
+    listing: int = -1  # the listing that `order` was made from
+    ordered_at: int = 0
+    homes: int = 0  # so many of its preferred workers are homes
+    order: list[Worker] = field(default_factory=list)  # the homes in our own order, then those passed on to
 
     def holding(self, now: int) -> list[Worker]:
         """The workers believed to hold a copy; the others are dropped."""
@@ -188,6 +189,7 @@
     pace_at: int = 0
     warm_at: int = 0  # warmed up by then at the latest
     answered: int = 0  # when the latest sent of the attempts that it answered was sent
+    rank: tuple[bool, int] = (False, 0)  # among homes: those of our zone first, then by the tie hash
 
     def __post_init__(self) -> None:
         self.turns = Turns(self.order / 2**64)
@@ -228,7 +230,9 @@
             del self.busy[name]
 
     def tidy(self, now: int, since: int) -> None:
-        """Forget what no longer holds."""
+        """Forget what no longer holds; of a large fleet most workers hold nothing of ours."""
+        if not (self.sends.times or self.copies or self.refused or self.shut):
+            return
         self.sends.count(since)
         self.copies = {n: b for n, b in self.copies.items() if self.believed(n, now)}
         self.refused = {kind: until for kind, until in self.refused.items() if until > now}
--- a/swiftwell/scale/report.py
+++ b/swiftwell/scale/report.py
@@ -92,7 +92,7 @@
         for workers in (120, 10_000):
             for changes in (0.0, 1.0, 100.0):
                 fixed = ROUTING | {"workers": workers, "changes_per_s": changes}
-                for row in slopes.along(of(rows, build), "routing", "workers", fixed)[:1]:
+                if row := slopes.exact(of(rows, build), "routing", fixed):
                     lines.append(
                         (build, f"{workers:,}", number(changes), number(row.values["call_us"]),
                          number(row.values["change_us"]), number(row.values["cores"]))
@@ -165,8 +165,8 @@
             continue
         f, v = row.factors, row.values
         fixed = ROUTING | {"workers": f["workers"], "changes_per_s": f["changes_per_s"]}
-        hollow = slopes.along(of(rows, "after"), "routing", "workers", fixed)[:1]
-        ratio = number(v["call_us"] / hollow[0].values["call_us"]) if hollow else "-"
+        hollow = slopes.exact(of(rows, "after"), "routing", fixed)
+        ratio = number(v["call_us"] / hollow.values["call_us"]) if hollow else "-"
         lines.append(
             (f"{f['workers']:,}", number(f["changes_per_s"]), number(v["start_s"]), f"{v['in_time']:.1%}",
              number(v["cores"]), number(v["call_us"]), ratio, number(v["memory_mb"]),
--- a/swiftwell/scale/slopes.py
+++ b/swiftwell/scale/slopes.py
@@ -35,6 +35,11 @@
     return sorted(found, key=lambda row: row.factors[factor])
 
 
+def exact(rows: Sequence[Row], kind: str, factors: dict[str, object]) -> Row | None:
+    """The row of just these factors."""
+    return next((row for row in rows if row.kind == kind and row.factors == factors), None)
+
+
 def slope(rows: Sequence[Row], factor: str, quantity: str) -> Slope | None:
     """The best law through rows that differ in one factor; None for fewer sizes than `FEWEST`."""
     if len(rows) < FEWEST:
