--- a/swiftwell/scale/cases.py
+++ b/swiftwell/scale/cases.py
@@ -154,7 +154,7 @@
 def membership_plan() -> list[MembershipCase]:
     """Sizes in real time, one stretched beside its twin, and the faults."""
     sizes = [MembershipCase(members=members) for members in (50, 100, 200)]
-    stretched = [MembershipCase(members=members, stretch=4.0) for members in (200, 400)]
+    stretched = [MembershipCase(members=100, stretch=2.0), MembershipCase(members=400, stretch=3.0)]
     faults = [
         MembershipCase(members=100, fault="stop"),
         MembershipCase(members=100, fault="cut"),
--- a/swiftwell/scale/membership.py
+++ b/swiftwell/scale/membership.py
@@ -8,14 +8,14 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 from swiftwell.fleet.members import PERIOD_US
 from swiftwell.proof.together import free_ports
 from swiftwell.scale.cases import MembershipCase
 
-VIEWS_PERIODS = 40.0  # periods until all views have to be right, at a start and after a fault
+VIEWS_PERIODS = 25.0  # periods until all views have to be right, at a start and after a fault
 STEADY_PERIODS = 8.0  # periods over which costs are counted
 FAULT_PERIODS = 15.0  # periods that a stop or a cut lasts
 POLL_PERIODS = 0.25  # periods between two looks at the views: the grain of the times reported
@@ -99,7 +99,7 @@
             steady = await self._steady()
             died = (await self._sums())["died"]
             self._last = None
-            known_s, healed_s = await getattr(self, f"_{self.case.fault}")()
+            known_s, healed_s = await FAULTS[self.case.fault](self)
             sums = await self._sums()
             return MembershipResult(
                 views_s, known_s, healed_s, round(sums["right"] / sums["members"], 4), *steady,
@@ -147,7 +147,7 @@
         cores, datagrams, size = rates
         return round(cores, 5), round(datagrams, 2), round(size, 1)
 
-    async def _kill(self) -> tuple[float, float]:
+    async def kill(self) -> tuple[float, float]:
         """One process, with its part of the members, dies."""
         victim = self.processes[0]
         victim.signal(signal.SIGKILL)
@@ -155,7 +155,7 @@
         self.expected = lambda process: left
         return await self._until_right(time.monotonic()), 0.0
 
-    async def _stop(self) -> tuple[float, float]:
+    async def stop(self) -> tuple[float, float]:
         """One process stands still, then wakes."""
         victim, whole = self.processes[0], self.expected
         victim.signal(signal.SIGSTOP)
@@ -168,7 +168,7 @@
         self.expected = whole
         return known_s, await self._until_right(time.monotonic())
 
-    async def _cut(self) -> tuple[float, float]:
+    async def cut(self) -> tuple[float, float]:
         """Half of the processes and the other half don't hear each other, then do again."""
         whole, half = self.expected, len(self.processes) // 2
         sides = (self.processes[:half], self.processes[half:])
@@ -184,6 +184,11 @@
         return known_s, await self._until_right(time.monotonic())
 
 
+FAULTS: dict[str, Callable[[Trial], Awaitable[tuple[float, float]]]] = {
+    "kill": Trial.kill, "stop": Trial.stop, "cut": Trial.cut,
+}  # fmt: skip
+
+
 async def run(case: MembershipCase) -> MembershipResult:
     """Play one case."""
     return await Trial(case).run()
--- a/swiftwell/scale/ranking.py
+++ b/swiftwell/scale/ranking.py
@@ -31,6 +31,7 @@
 class Resource:
     """A quantity that grows with a factor, its bound, and what carries it."""
 
+    role: str
     name: str
     kind: str
     fixed: dict[str, object]
@@ -57,33 +58,156 @@
         return self.at_target / self.resource.bound
 
 
+REQUESTS, CONTROL, WORKER = "router, request path", "router, control", "worker as we use it"
+WORKER_CONNECTIONS = 32  # connections that a worker holds well: assumed, eight a core
 _MEMBERS = {"processes": 10, "stretch": 1.0, "loss": 0.0, "fault": "kill", "seed": 1}
 RESOURCES = (
-    Resource("module's memory, copies of a worker in one entry", "routing", FLAT, "workers", "memory_mb",
-             TARGET.workers, TARGET.control_mb, "swiftwell/placement, swiftwell/records"),
-    Resource("module's memory, an entry for each instance", "routing", ROUTING, "workers", "memory_mb",
-             TARGET.instances, TARGET.control_mb, "swiftwell/placement, swiftwell/records"),
-    Resource("module's processor time, a mean router's calls", "routing", FLAT, "workers", "cores",
-             TARGET.workers, MODULE_CORES, "swiftwell/choice, swiftwell/placement"),
-    Resource("module's processor time, an entry for each instance", "routing", ROUTING, "workers", "cores",
-             TARGET.instances, MODULE_CORES, "swiftwell/choice, swiftwell/placement"),
-    Resource("changes of the list, an entry for each instance", "routing", ROUTING, "workers", "change_us",
-             TARGET.instances, TARGET.control_cores, "swiftwell/placement", ENTRY_CHANGES_PER_S / 1e6),
-    Resource("the whole list at a start", "routing", ROUTING, "workers", "list_us", TARGET.workers,
-             START_LIST_US, "swiftwell/placement"),
-    Resource("the whole list at a start, an entry for each instance", "routing", ROUTING, "workers",
-             "list_us", TARGET.instances, START_LIST_US, "swiftwell/placement"),
-    Resource("workers met within 36 s, against descriptors", "routing", FLAT, "workers", "workers_used",
-             TARGET.workers, WORKER_DESCRIPTORS, "none yet (subsets of workers)"),
-    Resource("memory of a real router", "list", LIST, "workers", "memory_mb", TARGET.workers,
-             TARGET.router_mb, "swiftwell/platform"),
-    Resource("membership's processor time", "membership", _MEMBERS, "members", "cores", TARGET.routers,
-             TARGET.control_cores, "swiftwell/fleet/members; none yet at this size"),
-    Resource("membership's bytes a second", "membership", _MEMBERS, "members", "bytes_per_s", TARGET.routers,
-             TARGET.control_bytes_per_s, "swiftwell/fleet/members"),
-    Resource("a member's memory", "membership", _MEMBERS, "members", "memory_mb", TARGET.routers,
-             TARGET.control_mb, "swiftwell/fleet/members"),
-)  # fmt: skip
+    Resource(
+        CONTROL,
+        "module's memory, copies of a worker in one entry",
+        "routing",
+        FLAT,
+        "workers",
+        "memory_mb",
+        TARGET.workers,
+        TARGET.control_mb,
+        "swiftwell/placement, swiftwell/records",
+    ),
+    Resource(
+        CONTROL,
+        "module's memory, an entry for each instance",
+        "routing",
+        ROUTING,
+        "workers",
+        "memory_mb",
+        TARGET.instances,
+        TARGET.control_mb,
+        "swiftwell/placement, swiftwell/records",
+    ),
+    Resource(
+        REQUESTS,
+        "module's processor time, a mean router's calls",
+        "routing",
+        FLAT,
+        "workers",
+        "cores",
+        TARGET.workers,
+        MODULE_CORES,
+        "swiftwell/choice, swiftwell/placement",
+    ),
+    Resource(
+        REQUESTS,
+        "module's processor time, an entry for each instance",
+        "routing",
+        ROUTING,
+        "workers",
+        "cores",
+        TARGET.instances,
+        MODULE_CORES,
+        "swiftwell/choice, swiftwell/placement",
+    ),
+    Resource(
+        CONTROL,
+        "changes of the list, an entry for each instance",
+        "routing",
+        ROUTING,
+        "workers",
+        "change_us",
+        TARGET.instances,
+        TARGET.control_cores,
+        "swiftwell/placement",
+        ENTRY_CHANGES_PER_S / 1e6,
+    ),
+    Resource(
+        CONTROL,
+        "the whole list at a start",
+        "routing",
+        ROUTING,
+        "workers",
+        "list_us",
+        TARGET.workers,
+        START_LIST_US,
+        "swiftwell/placement",
+    ),
+    Resource(
+        CONTROL,
+        "the whole list at a start, an entry for each instance",
+        "routing",
+        ROUTING,
+        "workers",
+        "list_us",
+        TARGET.instances,
+        START_LIST_US,
+        "swiftwell/placement",
+    ),
+    Resource(
+        REQUESTS,
+        "workers met within 36 s, against descriptors",
+        "routing",
+        FLAT,
+        "workers",
+        "workers_used",
+        TARGET.workers,
+        WORKER_DESCRIPTORS,
+        "none yet (subsets of workers)",
+    ),
+    Resource(
+        WORKER,
+        "connections of all routers within 36 s",
+        "routing",
+        FLAT,
+        "workers",
+        "workers_used",
+        TARGET.workers,
+        WORKER_CONNECTIONS,
+        "none yet (subsets of workers)",
+        TARGET.routers / TARGET.workers,
+    ),
+    Resource(
+        REQUESTS,
+        "memory of a real router",
+        "list",
+        LIST,
+        "workers",
+        "memory_mb",
+        TARGET.workers,
+        TARGET.router_mb,
+        "swiftwell/platform",
+    ),
+    Resource(
+        CONTROL,
+        "membership's processor time",
+        "membership",
+        _MEMBERS,
+        "members",
+        "cores",
+        TARGET.routers,
+        TARGET.control_cores,
+        "swiftwell/fleet/members; none yet at this size",
+    ),
+    Resource(
+        CONTROL,
+        "membership's bytes a second",
+        "membership",
+        _MEMBERS,
+        "members",
+        "bytes_per_s",
+        TARGET.routers,
+        TARGET.control_bytes_per_s,
+        "swiftwell/fleet/members",
+    ),
+    Resource(
+        CONTROL,
+        "a member's memory",
+        "membership",
+        _MEMBERS,
+        "members",
+        "memory_mb",
+        TARGET.routers,
+        TARGET.control_mb,
+        "swiftwell/fleet/members",
+    ),
+)
 # Bounds that stand in the code, and the size that they are held against: no run is needed for these.
 WRITTEN = (
     ("records of one frame of the list, an entry for each instance", MOST_RECORDS, TARGET.instances,
@@ -121,8 +245,8 @@
         r = one.resource
         mark = "extrapolated" if max(one.fit.sizes) < r.target else "measured slope"
         sizes = f"{min(one.fit.sizes):,.0f} to {max(one.fit.sizes):,.0f}"
-        line = (r.name, _share(one.share), number(one.at_target), number(r.bound), number(one.ratio),
-                one.fit.law, sizes, mark, r.carrier)  # fmt: skip
+        line = (f"{r.role}: {r.name}", _share(one.share), number(one.at_target), number(r.bound),
+                number(one.ratio), one.fit.law, sizes, mark, r.carrier)  # fmt: skip
         lines.append((one.share, line))
     for name, bound, target, carrier in WRITTEN:
         share = bound / target
@@ -135,5 +259,24 @@
     return table(head, [line for _, line in lines])
 
 
+def roles_of(
+    rows: Sequence[Row], build: str, table: Callable[..., str], number: Callable[[float], str]
+) -> str:
+    """Each role's figures at the target size, with the slopes that they were worked out from."""
+    lines = []
+    for one in sorted(crossings(rows, build), key=lambda one: one.resource.role):
+        r, fit = one.resource, one.fit
+        mark = "extrapolated" if max(fit.sizes) < r.target else "from a measured slope"
+        slope = f"{fit.law}: {number(fit.slope)} ({number(fit.slope_low)} to {number(fit.slope_high)})"
+        sizes = ", ".join(f"{size:,.0f}" for size in fit.sizes)
+        lines.append(
+            (r.role, r.name, number(one.at_target), mark, slope, r.quantity, f"{r.factor}: {sizes}",
+             number(r.bound), number(one.ratio), r.carrier)
+        )  # fmt: skip
+    head = ("role", "what", "at the target", "mark", "law: slope (95 in 100)", "unit", "measured at", "bound",
+            "ratio", "carried by")  # fmt: skip
+    return table(head, lines)
+
+
 def _share(share: float) -> str:
     return "not crossed" if math.isinf(share) else f"{share:.3g}"
--- a/swiftwell/scale/report.py
+++ b/swiftwell/scale/report.py
@@ -206,10 +206,15 @@
     return ranking.table_of(rows, "after", table, number)
 
 
+def roles(rows: Sequence[Row]) -> str:
+    """Each role's figures at the target size."""
+    return ranking.roles_of(rows, "after", table, number)
+
+
 TABLES: dict[str, Callable[[Sequence[Row]], str]] = {
     "routing": routing, "factors": factors, "corners": corners, "laws": laws, "predictions": predictions,
     "membership": membership, "real": real, "cold": cold,
-    "ranking-before": first_ranking, "ranking": last_ranking,
+    "ranking-before": first_ranking, "ranking": last_ranking, "roles": roles,
 }  # fmt: skip
 
 
