--- a/benchmarks/connection_flood.py
+++ b/benchmarks/connection_flood.py
@@ -119,6 +119,8 @@
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--roots", nargs="+", default=["."])
     args = parser.parse_args()
+    if args.seconds <= 0 or min(args.rates) < 0:
+        parser.error("--seconds: expected more than 0; --rates: expected 0 or more")
     for root in args.roots:
         if not (Path(root) / "swiftwell" / "platform").is_dir():
             parser.error(f"--roots: {root}: expected a checkout of the program")
--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -8,7 +8,14 @@
 from swiftwell.fronts.fastcgi import codec
 from swiftwell.fronts.fastcgi import request as rq
 from swiftwell.fronts.fastcgi.codec import Decoder, FastcgiError
-from swiftwell.fronts.fastcgi.session import LOOKS, MOST_BODY, MOST_OPEN, Aborted, Session, Whole
+from swiftwell.fronts.fastcgi.session import (
+    MAX_INCOMPLETE_SWEEPS,
+    MOST_BODY,
+    MOST_OPEN,
+    Aborted,
+    Session,
+    Whole,
+)
 
 ID = "9b1f03aa5c7e2d41"
 CONTRACT = rq.Contract({"lectura": 1_500_000}, frozenset({"acme"}), 8_000.0)
@@ -156,14 +163,14 @@
 def test_what_stays_incomplete_is_turned_away():
     session = Session()
     session.receive(codec.begin(1))
-    for _ in range(LOOKS):
-        session.look()
+    for _ in range(MAX_INCOMPLETE_SWEEPS):
+        session.sweep()
     assert not session.out
-    session.look()
+    session.sweep()
     assert numbers(session) == {1: codec.COMPLETE}
     session.receive(codec.begin(2)[:5])
-    for _ in range(LOOKS + 1):
-        session.look()
+    for _ in range(MAX_INCOMPLETE_SWEEPS + 1):
+        session.sweep()
     assert session.broken
 
 
