--- a/swiftwell/scale/ranking.py
+++ b/swiftwell/scale/ranking.py
@@ -245,7 +245,9 @@
         r = one.resource
         mark = "extrapolated" if max(one.fit.sizes) < r.target else "measured slope"
         sizes = f"{min(one.fit.sizes):,.0f} to {max(one.fit.sizes):,.0f}"
-        line = (f"{r.role}: {r.name}", _share(one.share), number(one.at_target), number(r.bound),
+        smallest = min(one.fit.sizes) / r.target  # below it nothing is known of where the bound is crossed
+        crossed = f"under {smallest:.3g}" if one.share < smallest else _share(one.share)
+        line = (f"{r.role}: {r.name}", crossed, number(one.at_target), number(r.bound),
                 number(one.ratio), one.fit.law, sizes, mark, r.carrier)  # fmt: skip
         lines.append((one.share, line))
     for name, bound, target, carrier in WRITTEN:
