--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	$(BIN)/python -m swiftwell scale run routing
 	$(BIN)/python -m swiftwell scale run membership
 	$(BIN)/python -m swiftwell scale run list
+	$(BIN)/python -m swiftwell scale run member
 	$(BIN)/python -m swiftwell scale run cold
 	$(BIN)/python -m swiftwell scale report
 
--- a/swiftwell/scale/cases.py
+++ b/swiftwell/scale/cases.py
@@ -68,9 +68,19 @@
     seed: int = 1
 
 
-Case = RoutingCase | MembershipCase | ListCase | ColdCase
+@dataclass(frozen=True, slots=True)
+class MemberCase:
+    """A real gateway process among so many hollow members."""
+
+    members: int = 50
+    processes: int = 10
+    seed: int = 1
+
+
+Case = RoutingCase | MembershipCase | ListCase | ColdCase | MemberCase
 KINDS: dict[str, type[Case]] = {
     "routing": RoutingCase, "membership": MembershipCase, "list": ListCase, "cold": ColdCase,
+    "member": MemberCase,
 }  # fmt: skip
 FAULTS = ("kill", "stop", "cut")
 _LIMITS = {
@@ -107,7 +117,7 @@
             raise CaseError(f"{name!r} is no factor of {kind}: expected one of {', '.join(known)}")
         values[name] = _value(name, value, known[name].default)
     case = KINDS[kind](**values)  # type: ignore[arg-type]
-    if isinstance(case, MembershipCase) and case.members < case.processes:
+    if isinstance(case, MembershipCase | MemberCase) and case.members < case.processes:
         raise CaseError(
             f"members: {case.members} in {case.processes} processes, expected one in each at least"
         )
@@ -170,6 +180,11 @@
     ]
 
 
+def member_plan() -> list[MemberCase]:
+    """A real gateway among more and more hollow members."""
+    return [MemberCase(members=members) for members in (50, 200, 400)]
+
+
 def cold_plan() -> list[ColdCase]:
     """Ten seeds of small fleets, some of large ones."""
     plan = [ColdCase(routers, seed=seed) for routers in (3, 20, 30) for seed in range(1, 11)]
@@ -184,11 +199,12 @@
         MembershipCase(members=8, processes=2, stretch=0.2),
         ListCase(workers=50, seconds=2.0),
         ColdCase(routers=3, workers=6),
+        MemberCase(members=8, processes=2),
     ]
 
 
 PLANS: dict[str, Callable[[], Sequence[Case]]] = {
     "small": small_plan, "workers": workers_plan, "routing": routing_plan, "membership": membership_plan,
-    "cold": cold_plan,
+    "cold": cold_plan, "member": member_plan,
     "list": list_plan,
 }  # fmt: skip
--- a/swiftwell/scale/report.py
+++ b/swiftwell/scale/report.py
@@ -153,6 +153,24 @@
     return table(head, lines)
 
 
+def real_member(rows: Sequence[Row]) -> str:
+    """A real gateway among hollow members."""
+    lines = []
+    for row in of(rows, "after"):
+        if row.kind != "member":
+            continue
+        v = row.values
+        cost = v["cores"] - v["alone_cores"]
+        lines.append(
+            (row.factors["members"], _time(v["view_s"]), v["seen"], number(cost), number(v["hollow_cores"]),
+             number(cost / v["hollow_cores"]), number(v["datagrams_per_s"]),
+             number(v["hollow_datagrams_per_s"]), number(v["memory_mb"] - v["alone_memory_mb"]))
+        )  # fmt: skip
+    head = ("hollow members", "its view whole, s", "members seen at the end", "cores for it",
+            "a hollow member's", "ratio", "datagrams/s", "a hollow one's", "memory for it, MB")  # fmt: skip
+    return table(head, lines)
+
+
 def _time(seconds: float) -> str:
     return "never" if seconds < 0 else number(seconds)
 
@@ -214,7 +232,7 @@
 TABLES: dict[str, Callable[[Sequence[Row]], str]] = {
     "routing": routing, "factors": factors, "corners": corners, "laws": laws, "predictions": predictions,
     "membership": membership, "real": real, "cold": cold,
-    "ranking-before": first_ranking, "ranking": last_ranking, "roles": roles,
+    "ranking-before": first_ranking, "ranking": last_ranking, "roles": roles, "real-member": real_member,
 }  # fmt: skip
 
 
--- a/swiftwell/scale/runner.py
+++ b/swiftwell/scale/runner.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from swiftwell.scale import results
-from swiftwell.scale.cases import Case, ColdCase, ListCase, MembershipCase, RoutingCase
+from swiftwell.scale.cases import Case, ColdCase, ListCase, MemberCase, MembershipCase, RoutingCase
 
 CASE_S = 900.0  # s for a case at most
 
@@ -28,6 +28,10 @@
             from swiftwell.scale import membership
 
             return asdict(asyncio.run(membership.run(case)))
+        case MemberCase():
+            from swiftwell.scale import real_member
+
+            return asdict(asyncio.run(real_member.run(case)))
         case ListCase():
             from swiftwell.scale import real_router
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -118,6 +118,11 @@
     assert told["right_at_end"] == 1.0 and told["datagrams_per_s"] > 0
 
 
+def test_a_real_gateway_joins_hollow_members():
+    told = runner.play(cases.MemberCase(members=8, processes=2))
+    assert told["seen"] == 9 and told["view_s"] > 0 and told["datagrams_per_s"] > 0
+
+
 def test_a_real_router_follows_a_hollow_list_and_serves():
     told = runner.play(cases.ListCase(workers=40, changes_per_s=5.0, calls_per_s=40.0, seconds=2.0))
     assert told["calls"] > 50 and told["in_time"] > 0.9 and told["changes"] >= 5
