Scale package: tables in a module of their own, one division of members, nothing unused

Need: a second reading. ranking took its two printers as arguments because report imports it; they stand in tables.py now. The base factors stood in report and ranking, the division of members into processes in membership and real_member; each is one now. A router's descriptors for workers come from platform/limits in place of a number. Removed: counts of hollow members that nobody read, and a command that never was.

--- a/swiftwell/scale/cold_workers.py
+++ b/swiftwell/scale/cold_workers.py
@@ -22,6 +22,7 @@
 from swiftwell.choice import Router
 from swiftwell.scale import hollow_router as hollow
 from swiftwell.scale.cases import ColdCase
+from swiftwell.scale.popularity import Popularity
 
 WORK_US = 50_000  # us of a call on a lane of a warm worker
 LANES = 4  # calls that a worker runs at a time
@@ -126,7 +127,7 @@
     def _plan(self, now: int, end: int) -> None:
         parts = [self._chance.lognormvariate(0.0, UNEVEN) for _ in self.routers]
         per_s = LOAD * self.case.workers * LANES / WORK_US * 1e6
-        functions = hollow.Popularity(FUNCTIONS, EXPONENT)
+        functions = Popularity(FUNCTIONS, EXPONENT)
         at = float(now)
         while (at := at + self._chance.expovariate(per_s) * 1e6) < end:
             router = self._chance.choices(range(len(parts)), parts)[0]
--- a/swiftwell/scale/hollow_members.py
+++ b/swiftwell/scale/hollow_members.py
@@ -3,7 +3,7 @@
     python -m swiftwell.scale.hollow_members '{"first": 0, "count": 5, "ports": [...], ...}'
 
 Commands come as JSON lines on standard input, each is answered by one line: `stats` with the living members,
-`cut` with those that are not to be reached, `loss` with a share of datagrams.
+`cut` with those that are not to be reached.
 """
 
 from __future__ import annotations
@@ -13,8 +13,7 @@
 import random
 import resource
 import sys
-import time
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 import psutil
 
@@ -58,8 +57,6 @@
 
     members: int
     right: int  # whose view is that of who lives
-    missing: int  # living ones that views don't hold
-    lingering: int  # dead ones that views still hold
     died: int  # times that a member was taken for dead
     datagrams: int
     bytes: int
@@ -95,24 +92,16 @@
     def _command(self, command: dict) -> dict:
         match command:
             case {"stats": living}:
-                return _plain(self._stats(set(living)))
+                return asdict(self._stats(set(living)))
             case {"cut": members}:
                 self.faults.cut = frozenset(members)
         return {}
 
     def _stats(self, living: set[int]) -> Stats:
-        right = missing = lingering = 0
-        for link in self.links:
-            view = set(link.node.members.alive())
-            right += view == living
-            missing += len(living - view)
-            lingering += len(view - living)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return Stats(
             members=len(self.links),
-            right=right,
-            missing=missing,
-            lingering=lingering,
+            right=sum(set(link.node.members.alive()) == living for link in self.links),
             died=sum(link.node.members.counts["died"] for link in self.links),
             datagrams=sum(link.datagrams for link in self.links),
             bytes=sum(link.bytes for link in self.links),
@@ -121,13 +110,9 @@
         )
 
 
-def _plain(stats: Stats) -> dict[str, float]:
-    return {name: getattr(stats, name) for name in Stats.__slots__}
-
-
 def main() -> int:
     """One process of members."""
-    print(json.dumps({"at": time.time()}), flush=True)
+    print("{}", flush=True)  # it runs
     asyncio.run(Host(**json.loads(sys.argv[1])).run())
     return 0
 
--- a/swiftwell/scale/membership.py
+++ b/swiftwell/scale/membership.py
@@ -77,14 +77,19 @@
             await self._process.wait()
 
 
+def divided(members: range, processes: int) -> list[Process]:
+    """Processes of like size for these members."""
+    bounds = [members.start + len(members) * number // processes for number in range(processes + 1)]
+    return [Process(range(*pair)) for pair in itertools.pairwise(bounds)]
+
+
 class Trial:
     """One case: its processes, what is expected of their views, and what was counted."""
 
     def __init__(self, case: MembershipCase) -> None:
         self.case = case
         self.period_s = PERIOD_US * case.stretch / 1e6
-        bounds = [case.members * number // case.processes for number in range(case.processes + 1)]
-        self.processes = [Process(range(*pair)) for pair in itertools.pairwise(bounds)]
+        self.processes = divided(range(case.members), case.processes)
         self.expected: Callable[[Process], Iterable[int]] = lambda process: range(case.members)
         self._worst_datagrams = self._worst_bytes = 0.0
         self._last: tuple[float, float, float] | None = None  # time, datagrams, bytes
--- a/swiftwell/scale/plots.py
+++ b/swiftwell/scale/plots.py
@@ -12,7 +12,8 @@
 from matplotlib import pyplot
 
 from swiftwell.scale import slopes
-from swiftwell.scale.report import BUILDS, ROUTING, of
+from swiftwell.scale.ranking import ROUTING
+from swiftwell.scale.report import BUILDS, of
 from swiftwell.scale.results import Row
 from swiftwell.scale.target import TARGET
 
--- a/swiftwell/scale/ranking.py
+++ b/swiftwell/scale/ranking.py
@@ -3,28 +3,28 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
 
 from swiftwell.discovery.journal import MOST_RECORDS
+from swiftwell.platform.limits import divide
 from swiftwell.scale import slopes
 from swiftwell.scale.cases import FLAT_EXPONENT, ListCase, RoutingCase
 from swiftwell.scale.fits import Fit
 from swiftwell.scale.results import Row
+from swiftwell.scale.tables import number, table
 from swiftwell.scale.target import TARGET
 
-MODULE_CORES = (
-    0.25  # of a core for the module at a mean router's calls: assumed, the rest is sockets and codecs
-)
+MODULE_CORES = 0.25  # of a core at a mean router's calls: assumed, the rest is sockets and codecs
 START_LIST_US = 250_000.0  # us of a start for taking the whole list: assumed, two fifths of 0.61 s
-WORKER_DESCRIPTORS = 330  # a router's, of 1,024 (platform/limits)
+WORKER_DESCRIPTORS = divide(TARGET.router_sockets).workers
 COPY_LIFE_S = 600.0  # s that a copy stands: assumed, where each copy has an entry of its own
 ENTRY_CHANGES_PER_S = 2 * TARGET.instances / COPY_LIFE_S
 FAR = 1_000.0  # times the target: a bound that is crossed beyond it is not crossed
 
-ROUTING = {name: getattr(RoutingCase(), name) for name in RoutingCase.__slots__}
+ROUTING = asdict(RoutingCase())
 FLAT = ROUTING | {"exponent": FLAT_EXPONENT}
-LIST = {name: getattr(ListCase(), name) for name in ListCase.__slots__}
+LIST = asdict(ListCase())
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,9 +236,7 @@
     return Crossing(resource, one.fit, one.fit.at(resource.target) * resource.scale, share)
 
 
-def table_of(
-    rows: Sequence[Row], build: str, table: Callable[..., str], number: Callable[[float], str]
-) -> str:
+def table_of(rows: Sequence[Row], build: str) -> str:
     """The ranking as a table."""
     lines: list[tuple[float, tuple[object, ...]]] = []
     for one in crossings(rows, build):
@@ -261,9 +259,7 @@
     return table(head, [line for _, line in lines])
 
 
-def roles_of(
-    rows: Sequence[Row], build: str, table: Callable[..., str], number: Callable[[float], str]
-) -> str:
+def roles_of(rows: Sequence[Row], build: str) -> str:
     """Each role's figures at the target size, with the slopes that they were worked out from."""
     lines = []
     for one in sorted(crossings(rows, build), key=lambda one: one.resource.role):
--- a/swiftwell/scale/real_member.py
+++ b/swiftwell/scale/real_member.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import http.client
-import itertools
 import json
 import sys
 import tempfile
@@ -21,7 +20,7 @@
 from swiftwell.fleet.members import PERIOD_US
 from swiftwell.proof.together import free_ports
 from swiftwell.scale.cases import MemberCase, MembershipCase
-from swiftwell.scale.membership import Process
+from swiftwell.scale.membership import Process, divided
 
 HOST = "127.0.0.1"
 JOIN_PERIODS = 30.0  # periods until its view has to hold all members
@@ -103,8 +102,7 @@
     ports = free_ports(case.members + 1)
     roster = "\n".join(f'member "m-{at}" at="{HOST}:{port}"' for at, port in enumerate(ports))
     told = MembershipCase(members=case.members + 1, processes=case.processes, seed=case.seed)
-    bounds = [1 + case.members * at // case.processes for at in range(case.processes + 1)]
-    hollow = [Process(range(*pair)) for pair in itertools.pairwise(bounds)]
+    hollow = divided(range(1, case.members + 1), case.processes)
     with tempfile.TemporaryDirectory() as folder:
         alone = Gateway(Path(folder) / "alone", "")
         among = Gateway(Path(folder) / "among", f"fleet {{\n{roster}\n}}")
--- a/swiftwell/scale/report.py
+++ b/swiftwell/scale/report.py
@@ -8,13 +8,13 @@
 from pathlib import Path
 
 from swiftwell.scale import ranking, slopes
-from swiftwell.scale.cases import FLAT_EXPONENT, ListCase, RoutingCase
+from swiftwell.scale.cases import FLAT_EXPONENT, RoutingCase
+from swiftwell.scale.ranking import ROUTING
 from swiftwell.scale.results import Row
+from swiftwell.scale.tables import number, table
 from swiftwell.scale.target import TARGET
 
 BASE = RoutingCase()
-ROUTING = {name: getattr(BASE, name) for name in RoutingCase.__slots__}
-LIST = {name: getattr(ListCase(), name) for name in ListCase.__slots__}
 BUILDS = ("before", "after")
 _MARK = re.compile(r"(<!-- scale:(?P<name>[a-z-]+) -->\n).*?(<!-- /scale -->)", re.DOTALL)
 
@@ -35,19 +35,6 @@
     return _MARK.sub(filled, page)
 
 
-def table(head: Sequence[str], lines: Sequence[Sequence[object]]) -> str:
-    """A Markdown table."""
-    out = ["| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
-    return "\n".join(out + ["| " + " | ".join(map(str, line)) + " |" for line in lines])
-
-
-def number(value: float) -> str:
-    """Three digits, and no more than that says anything."""
-    if value == 0 or abs(value) >= 1_000:
-        return f"{value:,.0f}"
-    return f"{value:.3g}"
-
-
 def of(rows: Sequence[Row], build: str) -> list[Row]:
     """The rows of one build."""
     return [row for row in rows if row.build == build]
@@ -216,17 +203,17 @@
 
 def first_ranking(rows: Sequence[Row]) -> str:
     """The ranking of the build before."""
-    return ranking.table_of(rows, "before", table, number)
+    return ranking.table_of(rows, "before")
 
 
 def last_ranking(rows: Sequence[Row]) -> str:
     """The ranking of this build."""
-    return ranking.table_of(rows, "after", table, number)
+    return ranking.table_of(rows, "after")
 
 
 def roles(rows: Sequence[Row]) -> str:
     """Each role's figures at the target size."""
-    return ranking.roles_of(rows, "after", table, number)
+    return ranking.roles_of(rows, "after")
 
 
 TABLES: dict[str, Callable[[Sequence[Row]], str]] = {
--- a/swiftwell/scale/slopes.py
+++ b/swiftwell/scale/slopes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 from swiftwell.scale.cases import Case, RoutingCase, kind_of
 from swiftwell.scale.fits import Fit, best
@@ -53,7 +53,7 @@
     """What the smaller sizes say of a large routing case; nothing for other cases."""
     if not isinstance(case, RoutingCase) or case.workers < PREDICTED_FROM:
         return {}
-    fixed = {name: getattr(case, name) for name in RoutingCase.__slots__}
+    fixed = asdict(case)
     smaller = [
         row for row in along(rows, kind_of(case), "workers", fixed) if row.factors["workers"] < case.workers
     ]
