Log how attempts and orders end, retries, what is not served, and what the list tells of workers

Lines with the request's id: attempt-ended, retry, not-served; order-ended, connection-ended, worker; figures carry how attempts and orders ended, by outcome.

--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Protocol
@@ -98,6 +99,7 @@
         self._unconfirmed: set[str] = set()  # workers of books that a killed process left
         self._rebuilding = self._stopping = False
         self._events: list[io.Event] = []
+        self.ends: Counter[str] = Counter()  # of attempts, orders and questions, by how they ended
         self.counts: dict[str, int] = dict.fromkeys(
             (
                 "calls",
@@ -415,6 +417,12 @@
         self._wheel.cancel(attempt.timer)
         attempt.out, attempt.ran = False, end.ran
         self._at_work -= 1
+        self.ends[f"attempt/{end.status.name.lower()}"] += 1
+        if end.status is not Status.OK:
+            self._log(
+                "info", "attempt-ended", request=call.trigger.key, number=end.number, worker=attempt.worker,
+                how=end.status.name.lower(), ran=end.ran.name.lower(), ms=end.latency_us // 1_000,
+            )  # fmt: skip
         if self.observer:
             self.observer.attempt(attempt.worker, call.band.name, end.status, end.latency_us)
         if (end.ran is Ran.NEVER) != (end.status in io.NEVER_RAN):
@@ -459,6 +467,10 @@
             return
         self._wheel.cancel(timer)
         self._word(worker, end)
+        self.ends[f"order/{end.status.name.lower()}"] += 1
+        if end.status is not Status.OK:
+            how = end.status.name.lower()
+            self._log("info", "order-ended", worker=worker, function=function, how=how, copies=end.copies)
         self._events.append(io.Loaded(worker, function, end.status, self._now - sent, end.copies))
 
     def _confirm(self, members: io.Members) -> None:
@@ -668,6 +680,8 @@
             self._events.append(io.Outcome(act.id, number, act.worker, Status.MOOT, 0, True, 0, ()))
             return
         number = len(call.attempts)
+        if number:
+            self._log("info", "retry", request=call.trigger.key, number=number, worker=act.worker)
         until = min(act.until_us or call.deadline_us, call.deadline_us)
         attempt, by_us = Attempt(act.worker, until_us=until, sent_us=self._now), call.send_by_us()
         attempt.timer = self._wheel.add(until, lambda: self._abandon(call, number, Status.TIMEOUT))
@@ -821,6 +835,11 @@
 
     def _reply(self, trigger: Trigger, answer: Answer) -> None:
         self.counts[answer.kind.value] += 1
+        if answer.kind is not Kind.SERVED:
+            self._log(
+                "info", "not-served", request=trigger.key, how=answer.kind.value, why=answer.reason,
+                attempts=answer.attempts,
+            )  # fmt: skip
         self._out.append(ports.Reply(trigger, answer))
 
     def _write(self, record: Record) -> int:
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -106,8 +106,15 @@
         for worker in self.addresses.take(event):
             self.link.gone(worker)
         members = self._start_times.members(event, self.clock.now_us(), at_our_start=self._starting)
+        if not event.whole:
+            self._log_changes(event)
         self.enqueue(ports.Listed(members))
 
+    def _log_changes(self, event: journal.Event) -> None:
+        for worker in event.workers:
+            state = worker.state.name.lower()
+            self.log("info", "worker", worker=worker.id, state=state, by="list", event_number=event.number)
+
     def _stepped(self) -> None:
         self.front.flush()
         if not self._looking:
@@ -207,7 +214,8 @@
             descriptors=_descriptors(), clients=len(front.connections),
             replies=kinds, turned=dict(front.turned.most_common(8)), front=dict(front.counts),
             link=dict(self.link.counts), sizes=tables(self.engine) | self.link.sizes(),
-            counts=dict(self.engine.counts), held=self.journal.feed.held, asked=self.journal.connections,
+            counts=dict(self.engine.counts), ends=dict(self.engine.ends),
+            held=self.journal.feed.held, asked=self.journal.connections,
         )  # fmt: skip
 
 
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -223,6 +223,9 @@
             job.connection = None
         if self._closed:
             return
+        if jobs:
+            why_ended = why or connection.failure
+            self._log("info", "connection-ended", worker=connection.worker, why=why_ended, requests=len(jobs))
         if why:
             self._lost(jobs, lives=True)
         elif connection.failed_here:
