--- a/swiftwell/handover/snapshot.py
+++ b/swiftwell/handover/snapshot.py
@@ -80,6 +80,7 @@
     out: bool = False
     maybe_ran: bool = True
     before: tuple[float, float] | None = None
+    group: str = "all"
 
 
 class CallBooks(msgspec.Struct):
@@ -239,7 +240,7 @@
     for call in router.calls.values():
         request = call.request._asdict()
         attempts = [
-            AttemptBooks(a.worker.entry.worker, a.sent, a.cold, a.out, a.maybe_ran, a.before)
+            AttemptBooks(a.worker.entry.worker, a.sent, a.cold, a.out, a.maybe_ran, a.before, a.group)
             for a in call.attempts
         ]
         out.calls.append(
@@ -348,7 +349,8 @@
         if worker is None:  # it was forgotten: nothing of ours is out there
             entry = io.WorkerEntry(a.worker, State.GONE, "", 1.0, 0, "", 0)
             worker = rec.Worker(entry, 0, 0, math.inf, FIRST_CAP)
-        call.attempts.append(rec.Attempt(call, number, worker, a.sent, a.cold, a.out, a.maybe_ran, a.before))
+        attempt = rec.Attempt(call, number, worker, a.sent, a.cold, a.out, a.maybe_ran, a.group, a.before)
+        call.attempts.append(attempt)
     router.calls[request.id] = call
 
 
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -66,6 +66,7 @@
             self.wake,
             lambda worker: leases.may_hand_over(worker, self.clock.now_us()),
             lambda: self._staleness.overdue(self.clock.now_us()),
+            self.enqueue,
         )
         contract = Contract.of(told.told)
         self._loop_lag = LoopLag(time.monotonic())
--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
@@ -25,6 +25,13 @@
 MOST_KNOWN = 256  # ids remembered, so that a late answer is no other attempt's: some seconds' worth
 
 
+@dataclass(slots=True, eq=False)
+class Handover:
+    """When a job's bytes were handed to the kernel; apart from the job, so that who asks forms no cycle."""
+
+    at_us: int = 0  # monotonic; 0 while they were not
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """An attempt or an order on its way."""
@@ -44,7 +51,7 @@
     waited: bool = False  # its leave to send is of an earlier turn
     began: float = 0.0  # monotonic s
     put: float = 0.0  # monotonic s at which it was put on its connection, with leave to send
-    sent_us: int = 0  # monotonic us at which it was handed over
+    handover: Handover = field(default_factory=Handover)
 
     def needs_leave(self, data: bytes, fresh: float) -> bool:
         """Whether its leave is older than `fresh`, monotonic s, or it had no time left when it was put."""
@@ -190,7 +197,7 @@
                 break
             sent -= len(data)
             if job is not None:
-                job.written, job.sent_us = True, sent_us
+                job.written, job.handover.at_us = True, sent_us
 
     def _leave(self) -> list[tuple[bytes, Job | None]]:
         """What may go out now: the last look at the worker's state, on every path to the kernel.
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -17,7 +17,7 @@
 from swiftwell.interface import Status
 from swiftwell.workers.resp import codec
 from swiftwell.workers.resp.codec import Answer
-from swiftwell.workers.resp.connection import Connection, Job
+from swiftwell.workers.resp.connection import Connection, Handover, Job
 
 IDLE_PART = 0.7  # of the time after which a worker closes an unused connection: ours go well before
 ORDER_S = 10.0  # s until an order is forgotten here, where the settings tell no time or a shorter one
@@ -56,7 +56,7 @@
     `address` says where a worker is; `put` takes what happened to the engine; `ready` says whether new work
     may still go to a worker by the list, `serves` whether it is proven not to drain; `wake` sees to it that
     `flush` is called soon, also where the engine has nothing to do; `keeps_alive` says whether each worker's
-    last connection is to be kept, as it shows that the process is the same.
+    last connection is to be kept, as it shows that the process is the same; `stands` hears of connections.
     """
 
     def __init__(
@@ -69,10 +69,11 @@
         wake: Callable[[], None] | None = None,
         serves: Callable[[str], bool] = lambda worker: True,
         keeps_alive: Callable[[], bool] = lambda: False,
+        stands: Callable[[ports.WorkerConnected | ports.WorkerDisconnected], None] = lambda given: None,
     ) -> None:
         self._bounds, self._address, self._put, self._log, self._ready = bounds, address, put, log, ready
         self._wake = wake or self._flush_soon
-        self._serves, self._keeps_alive = serves, keeps_alive
+        self._serves, self._keeps_alive, self._stands = serves, keeps_alive, stands
         self._workers: dict[str, _Worker] = {}
         self._jobs: dict[tuple[str, int], Job] = {}
         self._orders: dict[int, Job] = {}
@@ -87,12 +88,13 @@
     def start(self, act: ports.Start) -> None:
         """Begin an attempt; its wire id is the client's own."""
         key, trigger, began = (act.id, act.number), act.trigger, time.monotonic()
+        handover = Handover()
 
         def end(status: Status, ran: Ran, body: bytes = b"", found: int = 0, crowd: int = 0) -> None:
             self._jobs.pop(key, None)
             latency = int((time.monotonic() - began) * 1e6)
             ended = (act.id, act.number, status, ran, body, latency, found, crowd)
-            self._put(ports.AttemptEnd(*ended, sent_us=job.sent_us))
+            self._put(ports.AttemptEnd(*ended, sent_us=handover.at_us))
 
         def answered(answer: Answer) -> None:
             v = codec.verdict(answer[1], answer[2])
@@ -108,7 +110,7 @@
                 return b""
             return codec.run(id_, trigger.band, trigger.function, left, trigger.payload, trigger.token)
 
-        job = Job(act.worker, id_, words(began), answered, end, True, words, began=began)
+        job = Job(act.worker, id_, words(began), answered, end, True, words, began=began, handover=handover)
         self._jobs[key] = job
         self._begin(job)
 
@@ -136,12 +138,12 @@
 
     def order(self, act: ports.Order) -> None:
         """Send an order to load, or a question."""
-        number, began = act.number, time.monotonic()
+        number, began, handover = act.number, time.monotonic(), Handover()
 
         def end(status: Status, ran: Ran, copies: int = 0, heard: bool = False) -> None:
             self._orders.pop(number, None)
             latency = int((time.monotonic() - began) * 1e6)
-            self._put(ports.OrderEnd(number, status, copies, latency, answered=heard, sent_us=job.sent_us))
+            self._put(ports.OrderEnd(number, status, copies, latency, answered=heard, sent_us=handover.at_us))
 
         def answered(answer: Answer) -> None:
             status, copies = codec.stands(answer[1], answer[2])
@@ -149,9 +151,8 @@
 
         tag = b"o%d" % number
         data = codec.hold(tag, act.function, act.copies)
-        job = Job(
-            act.worker, tag, data, answered, end, False, lambda now_s: data, not act.copies, began=began
-        )
+        resend, asks = lambda now_s: data, not act.copies
+        job = Job(act.worker, tag, data, answered, end, False, resend, asks, began=began, handover=handover)
         self._orders[number] = job
         self._begin(job)
 
@@ -231,7 +232,7 @@
             worker.connections.remove(connection)
             if connection.up:
                 worker.up -= 1
-                self._put(ports.WorkerDisconnected(connection.worker, _now_us()))
+                self._stands(ports.WorkerDisconnected(connection.worker, _now_us()))
             if worker.gone and not worker.connections:
                 del self._workers[connection.worker]
         for job in jobs:
@@ -295,7 +296,7 @@
         worker = self._workers.get(connection.worker)
         if worker:
             worker.up += 1
-            self._put(ports.WorkerConnected(connection.worker, _now_us()))
+            self._stands(ports.WorkerConnected(connection.worker, _now_us()))
 
     def reaches(self, connection: Connection) -> bool:
         """Whether a connection still leads to its worker."""
