After SIGHUP the old list service shows nothing until the new file has been read

Cause: found by reading. A file that can't be read at once is tried for 3 s, and what the old service said in that time would have counted as a current list, though it may have moved and tells nothing more.

--- a/swiftwell/discovery/journal.py
+++ b/swiftwell/discovery/journal.py
@@ -222,6 +222,7 @@
         self._stream: TcpStream | None = None
         self._failures = 0
         self._moved = asyncio.Event()
+        self._trusted = True  # what the service says on the connection at hand shows how the list stands
         self._missed = 0  # number up to which events were missed and asked for again
 
     def start(self, events: Iterable[Event]) -> None:
@@ -239,6 +240,10 @@
             if news:
                 self._tell(event)
 
+    def distrust(self) -> None:
+        """The service may have moved: what the connection at hand says shows nothing any more."""
+        self._trusted = False
+
     def move(self, at: tuple[str, int]) -> None:
         """The service has another address: ask there, from the last event held."""
         self.at, self._failures = at, 0
@@ -267,6 +272,7 @@
     async def _follow(self) -> str:
         """One connection, from the number held to its end; why it ended."""
         self.connections += 1
+        self._trusted = True
         try:
             stream = self._stream = TcpStream()
         except OSError as error:  # no descriptor: later there may be one
@@ -338,7 +344,7 @@
 
         Its first frame on a connection shows nothing: a service that breaks off again and again says as much.
         """
-        if last == self.feed.held:
+        if self._trusted and last == self.feed.held:
             self._staleness.current(self._seen_us())
 
 
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -46,7 +46,7 @@
     def __init__(self, told: Platform, file: str, logs: Logs, began_us: int | None = None) -> None:
         super().__init__(logs, {band.name: band.effect for band in told.told.classes})
         self.platform = told
-        self._reload = ConfigurationReload(file, self._reconfigured, self.log)
+        self._reload = ConfigurationReload(file, self._reconfigured, self._kept_configuration, self.log)
         self._staleness = ListStaleness(self.clock.now_us() if began_us is None else began_us)
         self._leases = leases = WorkerLeases(self._staleness, told.told.drain_grace_us)
         bound = {"margin_us": MARGIN_US, "max_open": told.most_open}
@@ -153,8 +153,13 @@
 
     def reload(self) -> None:
         """SIGHUP: the journal service may have moved; anything else is told at the next start."""
+        self.journal.distrust()  # until the file is read, which may take some tries
         self._reload.request()
 
+    def _kept_configuration(self) -> None:
+        """No new file could be read: the service is where it was, and is asked anew."""
+        self.journal.move(self.journal.at)
+
     def _reconfigured(self, told: Platform) -> None:
         self.journal.start(told.known)
         moved = told.journal != self.journal.at
--- a/swiftwell/platform/reload.py
+++ b/swiftwell/platform/reload.py
@@ -15,10 +15,16 @@
 
 
 class ConfigurationReload:
-    """`take` is given each configuration that could be read; `log` writes a line."""
-
-    def __init__(self, file: str, take: Callable[[Platform], None], log: Callable[..., None]) -> None:
-        self._file, self._take, self._log = file, take, log
+    """`take` is given each configuration that could be read, `kept` is called where none could be."""
+
+    def __init__(
+        self,
+        file: str,
+        take: Callable[[Platform], None],
+        kept: Callable[[], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._file, self._take, self._kept, self._log = file, take, kept, log
         self._until = 0.0
         self._again: asyncio.TimerHandle | None = None
 
@@ -41,7 +47,9 @@
             over = time.monotonic() >= self._until
             if first or over:
                 self._log("error", "configuration-kept", why=str(error), again=not over)
-            if not over:
+            if over:
+                self._kept()
+            else:
                 self._again = asyncio.get_running_loop().call_later(WAIT_S, self._read)
             return
         self._take(found)
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -255,6 +255,32 @@
     run(main())
 
 
+def test_what_the_old_service_says_after_sighup_shows_nothing():
+    """It may have moved, and the file that says so may take some tries to read."""
+
+    async def main():
+        async def serve(service, number, writer):
+            for _ in range(8):
+                writer.write(frame(1))
+                await asyncio.sleep(0.2)
+
+        age = ListStaleness(0)
+        async with Journal(serve) as service:
+            at = (HOST, service.port)
+            client = journal.Client(at, frames, print, lambda *a, **f: None, random.Random(1), age)
+            client.feed.held = 1
+            task = asyncio.ensure_future(client.run())
+            await until(lambda: service.asked)
+            client.distrust()
+            await asyncio.sleep(1.0)
+            assert age.current_us is None
+            client.move(at)
+            await until(lambda: age.current_us is not None)
+            task.cancel()
+
+    run(main())
+
+
 # What the decisions make of it.
 
 
