An order that ends in a reset or late connection is no restart of its worker again

Connections come up late there, and an order that met one made its worker cold for all calls. The lines were choice._loaded and _answered; what they were to catch, a process that restarts unheard, the leases tell by connections.

--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -431,7 +431,9 @@
             case Status.MISS:
                 worker.copies.pop(function.name, None)
             case Status.RESET | Status.CONNECT_FAILED:
-                self._died(worker)
+                self._forget(worker)
+                worker.warm_at = now + self.told.cold_us  # it may be starting again before the list says so
+                self._rest(worker)
             case Status.TIMEOUT if not attempt.call.ended:
                 self._rest(worker)
 
@@ -454,12 +456,6 @@
         self.kind_pace[worker.entry.kind] += LEARN * (ratio - usual)
         worker.pace, worker.pace_at = pace + PACE_LEARN * (ratio - pace), self.now
 
-    def _died(self, worker: rec.Worker) -> None:
-        """Its process ended: it may be starting again before the list says so."""
-        self._forget(worker)
-        worker.warm_at = self.now + self.told.cold_us
-        self._rest(worker)
-
     def _rest(self, worker: rec.Worker) -> None:
         worker.rest_until = self.now + (REST_US << min(worker.failures, REST_DOUBLINGS))
         worker.failures += 1
@@ -554,8 +550,6 @@
                 worker.copies.pop(event.function, None)
             elif event.function in self.functions and not worker.believed(event.function, self.now):
                 self._believe(worker, self.functions[event.function], event.copies)
-        elif event.status in (Status.RESET, Status.CONNECT_FAILED):
-            self._died(worker)
         elif event.status is Status.MOOT:  # for a reason of ours
             worker.full_until = self.now + FULL_US
         else:
@@ -579,7 +573,7 @@
         if coming and event.status is not Status.OK:
             self._load_failed(worker, function, coming)
             if event.status in (Status.RESET, Status.CONNECT_FAILED):
-                self._died(worker)
+                self._rest(worker)
         elif coming and stand:
             self._arrived(worker, function)
 
