Scale runs of an outage: what routers ask workers while the list is away

Need: a bound and a figure for questions, by router and by worker. The shipped decisions and leases in one virtual time.

--- a/swiftwell/scale/cases.py
+++ b/swiftwell/scale/cases.py
@@ -68,6 +68,17 @@
     seed: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class OutageCase:
+    """Routers whose list falls silent, in one virtual time; `calls_per_s` is each router's."""
+
+    routers: int = 20
+    workers: int = 120
+    calls_per_s: float = 15.0
+    exponent: float = 1.0
+    seed: int = 1
+
+
 @dataclass(frozen=True, slots=True)
 class MemberCase:
     """A real gateway process among so many hollow members."""
@@ -77,10 +88,10 @@
     seed: int = 1
 
 
-Case = RoutingCase | MembershipCase | ListCase | ColdCase | MemberCase
+Case = RoutingCase | MembershipCase | ListCase | ColdCase | OutageCase | MemberCase
 KINDS: dict[str, type[Case]] = {
     "routing": RoutingCase, "membership": MembershipCase, "list": ListCase, "cold": ColdCase,
-    "member": MemberCase,
+    "member": MemberCase, "outage": OutageCase,
 }  # fmt: skip
 FAULTS = ("kill", "stop", "cut")
 _LIMITS = {
@@ -191,6 +202,20 @@
     return plan + [ColdCase(200, seed=seed) for seed in range(1, 4)]
 
 
+def outage_plan() -> list[OutageCase]:
+    """Fleets of growing size at the same calls a router, and one router of the target's among its workers."""
+    fleets = [
+        OutageCase(routers, workers) for routers, workers in ((20, 12), (50, 30), (100, 60), (200, 120))
+    ]
+    return [
+        *fleets,
+        OutageCase(200, 120, seed=2),
+        OutageCase(10, 1_000, 164.0, EXPONENT),
+        OutageCase(10, 4_250, 164.0, EXPONENT),
+        OutageCase(10, 4_250, 164.0, FLAT_EXPONENT),
+    ]
+
+
 def small_plan() -> list[Case]:
     """What CI plays within seconds."""
     return [
@@ -200,11 +225,12 @@
         ListCase(workers=50, seconds=2.0),
         ColdCase(routers=3, workers=6),
         MemberCase(members=8, processes=2),
+        OutageCase(routers=3, workers=6),
     ]
 
 
 PLANS: dict[str, Callable[[], Sequence[Case]]] = {
     "small": small_plan, "workers": workers_plan, "routing": routing_plan, "membership": membership_plan,
     "cold": cold_plan, "member": member_plan,
-    "list": list_plan,
+    "list": list_plan, "outage": outage_plan,
 }  # fmt: skip
--- a/swiftwell/scale/report.py
+++ b/swiftwell/scale/report.py
@@ -201,6 +201,23 @@
     return table(head, lines)
 
 
+def outage(rows: Sequence[Row]) -> str:
+    """What routers ask workers while the list is away."""
+    lines = []
+    for row in of(rows, "after"):
+        if row.kind == "outage":
+            f, v = row.factors, row.values
+            lines.append(
+                (f"{f['routers']:,}", f"{f['workers']:,}", number(f["calls_per_s"]), number(f["exponent"]),
+                 number(v["asked_per_s"]), int(v["most_per_s"]), number(v["worker_per_s"]),
+                 int(v["worker_most_per_s"]), f"{v['served'] / v['calls']:.1%}", int(v["late_sends"]))
+            )  # fmt: skip
+    head = ("routers", "workers", "calls a router and second", "exponent", "asked a router and second",
+            "most of one router in a second", "met a worker and second", "most at one worker in a second",
+            "served", "late sends")  # fmt: skip
+    return table(head, lines)
+
+
 def first_ranking(rows: Sequence[Row]) -> str:
     """The ranking of the build before."""
     return ranking.table_of(rows, "before")
@@ -218,7 +235,7 @@
 
 TABLES: dict[str, Callable[[Sequence[Row]], str]] = {
     "routing": routing, "factors": factors, "corners": corners, "laws": laws, "predictions": predictions,
-    "membership": membership, "real": real, "cold": cold,
+    "membership": membership, "real": real, "cold": cold, "outage": outage,
     "ranking-before": first_ranking, "ranking": last_ranking, "roles": roles, "real-member": real_member,
 }  # fmt: skip
 
--- a/swiftwell/scale/runner.py
+++ b/swiftwell/scale/runner.py
@@ -11,16 +11,25 @@
 from pathlib import Path
 
 from swiftwell.scale import results
-from swiftwell.scale.cases import Case, ColdCase, ListCase, MemberCase, MembershipCase, RoutingCase
+from swiftwell.scale.cases import (
+    Case,
+    ColdCase,
+    ListCase,
+    MemberCase,
+    MembershipCase,
+    OutageCase,
+    RoutingCase,
+)
 
+_PROGRAMS = {RoutingCase: "hollow_router", ColdCase: "cold_workers", OutageCase: "outage_questions"}
 CASE_S = 900.0  # s for a case at most
 
 
 def play(case: Case, root: str = ".") -> dict[str, float]:
     """The values of one case, run from the checkout `root`."""
     match case:
-        case RoutingCase() | ColdCase():
-            module = "hollow_router" if isinstance(case, RoutingCase) else "cold_workers"
+        case RoutingCase() | ColdCase() | OutageCase():
+            module = _PROGRAMS[type(case)]
             words = [sys.executable, "-m", f"swiftwell.scale.{module}", json.dumps(asdict(case))]
             done = subprocess.run(words, cwd=root, capture_output=True, text=True, timeout=CASE_S, check=True)
             return json.loads(done.stdout)
