Orders are typed, settings are called so, and a failed discovery is asked again within its told time

The engine kept orders as tuples of five; the platform's 'told' is its settings. On request, a discovery that fails was asked again after 1 s whatever rules.ask-within-ms says; now at the latest after that (test).

--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -89,7 +89,8 @@
 
     def _members(self, event: io.Members) -> None:
         if event.how is ListKind.FAILED:  # the old list holds; ask again, but not at once
-            self._after(SWEEP_US, self._watch)
+            # Who asks seldomer than told counts as told of what went unheard.
+            self._after(min(SWEEP_US, self.told.ask_within_us or SWEEP_US), self._watch)
             return
         self.ring.update([self._entry(entry) for entry in rec.listed(event, self.workers)])
         self.listing += 1
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -26,6 +26,7 @@
 from swiftwell.gateway import ports
 from swiftwell.gateway.calls import Attempt, Call, Waiter
 from swiftwell.gateway.effects import Entry, Ledger, Record, Verdict
+from swiftwell.gateway.orders import Order
 from swiftwell.gateway.wheel import Wheel
 from swiftwell.handover import snapshot
 from swiftwell.interface import Effect, Status
@@ -76,7 +77,7 @@
         make: Callable[[io.Settings, int], Router] = Router,
         leases: WorkerLeases | None = None,
     ) -> None:
-        self._told, self._seed, self._make, self._leases = told, seed, make, leases
+        self._settings, self._seed, self._make, self._leases = told, seed, make, leases
         self.observer: Observer | None = None
         self._shed_us = 0  # how long the trigger at hand is sent away for
         self._hidden: dict[str, frozenset[str]] = {}  # see `hide`
@@ -94,9 +95,7 @@
         self._calls: dict[str, Call] = {}
         self._of: dict[str, dict[str, None]] = {}  # source: its calls
         self._awaiting: dict[int, Call] = {}  # number of a write: the call whose intent it is
-        # Number: worker, function, timer, when it was sent, when it counts as unanswered.
-        self._orders: dict[int, tuple[str, str, int, int, int]] = {}
-        self._questions: set[int] = set()  # the orders that only ask
+        self._orders: dict[int, Order] = {}
         self._numbers = self._writes = self._faults = 0
         self._at_work = 0  # attempts that are out
         self._books = 0  # numbers the module's books: timers of older ones mean nothing to newer ones
@@ -123,7 +122,7 @@
         )
 
     def _made(self) -> Router:
-        router = self._make(self._told, self._seed)
+        router = self._make(self._settings, self._seed)
         router.leases = self._leases
         return router
 
@@ -303,7 +302,7 @@
             return self._settle(call, refused, [Waiter(trigger)])
         self._calls[call.id] = call
         self._wait(call, trigger, left)
-        guard = call.deadline_us - GUARD_TICKS * self._told.tick_us
+        guard = call.deadline_us - GUARD_TICKS * self._settings.tick_us
         call.timer = self._wheel.add(guard, lambda: self._overdue(call))
         if intent:
             call.awaits = self._write(self.ledger.record(trigger.tenant, trigger.key, intent))
@@ -364,7 +363,7 @@
         """A trigger waits for a call; its own time may end before the call's does."""
         waiter = Waiter(trigger)
         if self._now + left_us < call.deadline_us:
-            waiter.until_us = self._now + left_us - GUARD_TICKS * self._told.tick_us
+            waiter.until_us = self._now + left_us - GUARD_TICKS * self._settings.tick_us
             waiter.timer = self._wheel.add(waiter.until_us, lambda: self._impatient(call, waiter))
         call.waiters.append(waiter)
         self._of.setdefault(trigger.source, {})[call.id] = None
@@ -502,19 +501,20 @@
         self._events.append(io.First(first.id, first.number, attempt.worker))
 
     def _order_ended(self, end: ports.OrderEnd) -> None:
-        worker, function, timer, sent, _ = self._orders.pop(end.number, ("", "", 0, 0, 0))
-        if not worker:
+        order = self._orders.pop(end.number, None)
+        if order is None:
             return
-        asked = end.number in self._questions
-        self._questions.discard(end.number)
-        self._wheel.cancel(timer)
+        worker, function, asked = order.worker, order.function, order.asks
+        self._wheel.cancel(order.timer)
         self._word(worker, end)
         self.ends[f"{'question' if asked else 'order'}/{end.status.name.lower()}"] += 1
         self._learn_from_answer(worker, end, asked)
         if end.status is not Status.OK:
             what, how = "question-ended" if asked else "order-ended", end.status.name.lower()
             self._log("info", what, worker=worker, function=function, how=how, copies=end.copies)
-        self._events.append(io.Loaded(worker, function, end.status, self._now - sent, end.copies, asked))
+        self._events.append(
+            io.Loaded(worker, function, end.status, self._now - order.sent_us, end.copies, asked)
+        )
 
     def _learn_from_answer(self, worker: str, end: ports.OrderEnd, asked: bool) -> None:
         """A worker that drains turns orders and questions away; a question has no other reason to be."""
@@ -686,11 +686,10 @@
         self._books += 1
         self._log("error", "module-rebuilt", calls=len(self._calls))
         new = self.router = self._made()
-        for number, (_, _, timer, _, _) in self._orders.items():  # answers would mean nothing to new books
-            self._wheel.cancel(timer)
+        for number, order in self._orders.items():  # answers would mean nothing to new books
+            self._wheel.cancel(order.timer)
             self._out.append(ports.Recall(number))
         self._orders.clear()
-        self._questions.clear()
         self._feed([io.Members(io.ListKind.FULL, tuple(self.list.entries()))])
         new.taken, new.orders, new.retries = old.taken, old.orders, old.retries
         for name, worker in new.workers.items():
@@ -786,19 +785,17 @@
         number, due = self._numbers, 0
         self.counts["orders" if act.copies else "questions"] += 1
         if not act.copies:
-            self._questions.add(number)
             due = self._now + QUESTION_US
-        elif self._told.order_timeout_us:
-            due = self._now + self._told.order_timeout_us
-        self._ordered(number, act.worker, act.function, self._now, due)
+        elif self._settings.order_timeout_us:
+            due = self._now + self._settings.order_timeout_us
+        self._ordered(number, Order(act.worker, act.function, act.copies, self._now, due))
         memory, lanes = (known.memory, known.lanes) if known else (0.0, 1)
         self._out.append(ports.Order(number, act.worker, act.function, act.copies, memory, lanes))
 
-    def _ordered(self, number: int, worker: str, function: str, sent: int, due: int) -> None:
-        timer = 0
-        if due:
-            timer = self._wheel.add(due, lambda: self._order_silent(number))
-        self._orders[number] = (worker, function, timer, sent, due)
+    def _ordered(self, number: int, order: Order) -> None:
+        if order.due_us:
+            order.timer = self._wheel.add(order.due_us, lambda: self._order_silent(number))
+        self._orders[number] = order
 
     def _order_silent(self, number: int) -> None:
         """An order's time is up: one that still waits for a connection must not go out uncounted later."""
@@ -818,8 +815,8 @@
         That ends by itself: a process that stood still must not act by a part that has run out meanwhile.
         """
         self._part_until, self._part_then = until_us, then
-        if routers != self._told.routers:
-            self._told = self.router.told = replace(self._told, routers=routers)
+        if routers != self._settings.routers:
+            self._settings = self.router.told = replace(self._settings, routers=routers)
 
     def start_at(self, now_us: int, wall_us: int) -> None:
         """The time at which calls are put in, before the first `step`."""
@@ -831,11 +828,11 @@
         self.router.seq = 0  # its first `handle` still sets the first timers
         self._unconfirmed = set(self.router.workers)
 
-    def restore_timers(self, orders: Iterable[tuple[int, str, str, int, int]]) -> None:
+    def restore_timers(self, orders: Iterable[tuple[int, Order]]) -> None:
         """Set every timer that calls, orders and books put in want."""
         wheel = self._wheel
         for call in self._calls.values():
-            guard = call.deadline_us - GUARD_TICKS * self._told.tick_us
+            guard = call.deadline_us - GUARD_TICKS * self._settings.tick_us
             call.timer = wheel.add(guard, lambda call=call: self._overdue(call))
             for waiter in call.waiters:
                 if waiter.until_us:
@@ -846,8 +843,8 @@
                     attempt.timer = wheel.add(
                         attempt.until_us, lambda c=call, n=number: self._abandon(c, n, Status.TIMEOUT)
                     )
-        for number, worker, function, sent, due in orders:
-            self._ordered(number, worker, function, sent, due)
+        for number, order in orders:
+            self._ordered(number, order)
         for token, (_, _, due) in self.router._timers.items():
             wheel.add(due, (self._books, token))
 
--- a/swiftwell/handover/state.py
+++ b/swiftwell/handover/state.py
@@ -36,6 +36,7 @@
 from swiftwell.fronts.trigger import Ran, Trigger
 from swiftwell.gateway.calls import Attempt, Call, Waiter
 from swiftwell.gateway.effects import Record
+from swiftwell.gateway.orders import Order
 from swiftwell.handover import snapshot
 from swiftwell.interface import State as WorkerState
 from swiftwell.workers.link import _Connection as WorkerConnection
@@ -367,7 +368,11 @@
     state.running = [(t, k, e.call) for (t, k), e in ledger._entries.items() if e.call]
     state.holes_until, state.shut_why = ledger.holes_until, ledger.shut_why
     state.numbers, state.writes, state.counts = engine._numbers, engine._writes, dict(engine.counts)
-    state.orders = [(n, *order[:2], order[3], order[4]) for n, order in engine._orders.items()]
+    # A gateway that hands over asks no worker: each of its orders is for copies.
+    state.orders = [
+        (number, order.worker, order.function, order.sent_us, order.due_us)
+        for number, order in engine._orders.items()
+    ]
     if gateway.endpoint:
         for client in gateway.endpoint.clients.values():
             one = PeerState("client", client.client, _session_out(client.session), client.generation)
@@ -571,7 +576,10 @@
                 _amqp_in(gateway, link, told, peers)
     for call in state.calls:
         _call_in(gateway, call, peers)
-    engine.restore_timers(state.orders)
+    engine.restore_timers(
+        (number, Order(worker, function, 1, sent_us, due_us))
+        for number, worker, function, sent_us, due_us in state.orders
+    )
     gateway.adopted = (state, fds)
 
 
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -43,20 +43,23 @@
 class Node(BatchingLoop):
     """A running router."""
 
-    def __init__(self, told: Platform, file: str, logs: Logs, began_us: int | None = None) -> None:
-        super().__init__(logs, {band.name: band.effect for band in told.told.classes})
-        self.platform = told
+    def __init__(self, platform: Platform, file: str, logs: Logs, began_us: int | None = None) -> None:
+        settings = platform.settings
+        super().__init__(logs, {band.name: band.effect for band in settings.classes})
+        self.platform = platform
         self._reload = ConfigurationReload(file, self._reconfigured, self._kept_configuration, self.log)
         self._staleness = ListStaleness(self.clock.now_us() if began_us is None else began_us)
-        self._leases = leases = WorkerLeases(self._staleness, told.told.drain_grace_us)
-        bound = {"margin_us": MARGIN_US, "max_open": told.most_open}
-        self.engine = Engine(told.told, None, seed=told.seed, leases=leases, **bound)
-        share = divide(told.sockets)
+        self._leases = leases = WorkerLeases(self._staleness, settings.drain_grace_us)
+        bound = {"margin_us": MARGIN_US, "max_open": platform.most_open}
+        self.engine = Engine(settings, None, seed=platform.seed, leases=leases, **bound)
+        share = divide(platform.sockets)
         self.addresses = journal.Addresses()
         self._start_times, self._starting = StartTimes(self.clock.started_us), True
         # No order is forgotten before the engine stops waiting: loads may take longer than the link's bound.
-        order_s = max(ORDER_S, told.told.order_timeout_us / 1e6)
-        bounds = RespBounds(share.workers, told.streams, told.dial_us / 1e6, told.idle_us / 1e6, order_s)
+        order_s = max(ORDER_S, settings.order_timeout_us / 1e6)
+        bounds = RespBounds(
+            share.workers, platform.streams, platform.dial_us / 1e6, platform.idle_us / 1e6, order_s
+        )
         self.link = RespLink(
             bounds,
             self.addresses.get,
@@ -68,13 +71,13 @@
             lambda: self._staleness.overdue(self.clock.now_us()),
             self.enqueue,
         )
-        contract = Contract.of(told.told)
+        contract = Contract.of(settings)
         self._loop_lag = LoopLag(time.monotonic())
         self.front = Listener(self, contract, share.clients, lambda: self.healthy, self._unseen_s)
-        frames = lambda: journal.Frames(told.zones, told.kinds)  # noqa: E731
-        chance, staleness = random.Random(told.seed), self._staleness
+        frames = lambda: journal.Frames(platform.zones, platform.kinds)  # noqa: E731
+        chance, staleness = random.Random(platform.seed), self._staleness
         self.journal = journal.Client(
-            told.journal, frames, self._listed, self.log, chance, staleness, self._seen_us
+            platform.journal, frames, self._listed, self.log, chance, staleness, self._seen_us
         )
         self.ended = asyncio.Event()
         self.stopping = False
@@ -161,11 +164,11 @@
         """No new file could be read: the service is where it was, and is asked anew."""
         self.journal.move(self.journal.at)
 
-    def _reconfigured(self, told: Platform) -> None:
-        self.journal.start(told.known)
-        moved = told.journal != self.journal.at
-        self.log("info", "configuration", journal=f"{told.journal[0]}:{told.journal[1]}", moved=moved)
-        self.journal.move(told.journal)
+    def _reconfigured(self, platform: Platform) -> None:
+        self.journal.start(platform.known)
+        moved = platform.journal != self.journal.at
+        self.log("info", "configuration", journal=f"{platform.journal[0]}:{platform.journal[1]}", moved=moved)
+        self.journal.move(platform.journal)
 
     def stop(self) -> None:
         """SIGTERM: go on until nothing more can come, then end."""
@@ -181,7 +184,7 @@
         what is known of them before SIGKILL.  It waited for its own cap and then ended with calls open.
         """
         began = time.monotonic()
-        longest_us = max(band.deadline_us for band in self.platform.told.classes)
+        longest_us = max(band.deadline_us for band in self.platform.settings.classes)
         schedule = ShutdownSchedule.of(longest_us / 1e6)
         try:
             await asyncio.sleep(schedule.take_s)
@@ -281,17 +284,17 @@
         print("swiftwell: EDGE_CONFIG is not set: expected the path of the configuration", file=sys.stderr)
         return 2
     try:
-        told = config.read(started(Path(file).read_bytes), file)
+        platform = config.read(started(Path(file).read_bytes), file)
     except (OSError, ConfigError) as error:
         print(f"swiftwell: {error}", file=sys.stderr)
         return 2
     return uvloop.run(
-        _serve(told, file, early or [], began_us), loop_factory=lambda: started(uvloop.new_event_loop)
+        _serve(platform, file, early or [], began_us), loop_factory=lambda: started(uvloop.new_event_loop)
     )
 
 
-async def _serve(told: Platform, file: str, early: list[int], began_us: int | None) -> int:
-    node = Node(told, file, Logs("json"), began_us)
+async def _serve(platform: Platform, file: str, early: list[int], began_us: int | None) -> int:
+    node = Node(platform, file, Logs("json"), began_us)
     try:
         await node.start()
     except OSError as error:
--- a/swiftwell/settings/platform.py
+++ b/swiftwell/settings/platform.py
@@ -33,7 +33,7 @@
     sockets: int
     memory_mb: float
     journal: tuple[str, int]
-    told: io.Settings
+    settings: io.Settings
     streams: int  # requests at a time on a connection to a worker
     idle_us: int  # a worker closes a connection that was unused for so long
     dial_us: int  # a connection that does not come up for so long has failed
@@ -111,10 +111,10 @@
         raise reader.wrong("seed", "16 hex digits") from None
     pairs = dict(flatten(reader.at("settings", dict, "an object")))
     try:
-        _, told = wire.settings(pairs | {"salt": str(number)})
+        _, settings = wire.settings(pairs | {"salt": str(number)})
     except (wire.WireError, ValueError, OverflowError) as error:
         raise ConfigError(f"{file}: settings: {error}") from None
-    if not told.classes:
+    if not settings.classes:
         raise reader.wrong("settings.lanes", "at least one class")
     zones = tuple(filter(None, pairs.get("failure-domains", "").split(",")))
     kinds = tuple(filter(None, pairs.get("flavors", "").split(",")))
@@ -131,7 +131,7 @@
         sockets=int(reader.number("limits.sockets", LEAST_SOCKETS, 1 << 20)),
         memory_mb=reader.number("limits.memory_mb", 1, 1 << 20),
         journal=reader.address("journal"),
-        told=told,
+        settings=settings,
         streams=int(reader.number("settings.limits.streams-per-conn", 1, 1 << 16, 1)),
         idle_us=int(reader.number("settings.limits.conn-idle-ms", 1, day_ms, 30_000) * 1_000),
         dial_us=int(reader.number("settings.limits.dial-timeout-ms", 1, day_ms, 250) * 1_000),
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -206,6 +206,17 @@
     assert [name for name, worker in bench.router.workers.items() if worker.ready] == ["b"]
 
 
+@pytest.mark.parametrize("within_us", [0, 300_000, 10_000_000])
+def test_a_discovery_that_fails_is_asked_again_within_the_told_time_however_often_it_fails(within_us) -> None:
+    """Who asks seldomer counts as told of what went unheard; four times as long after a failed call."""
+    bench = Bench(replace(PLAIN, asked_discovery=True, ask_within_us=within_us))
+    for _ in range(5):
+        bench.do(io.Members(io.ListKind.FAILED, ()))
+        bench.all.clear()
+        bench.wait(min(within_us or 1_000_000, 1_000_000) + 4_000)
+        assert only(bench.all, io.Watch) == [io.Watch(True)]
+
+
 def test_every_order_counts_against_the_ration_in_a_sliding_window() -> None:
     ration = replace(ORDERS, load_free=2.0, load_share=0.0, load_window_us=5_000_000)
     bench = Bench(ration)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -20,10 +20,12 @@
 
 def test_the_settings_go_through_the_reader_of_the_wire():
     told = config.read(json.dumps(document([7001])).encode(), "f")
-    assert [band.name for band in told.told.classes] == ["lectura", "consigna"]
-    assert told.told.classes[1].effect.name == "UNSAFE" and told.told.classes[0].deadline_us == 1_500_000
-    assert told.told.kind_memory_mb == (("std", 8000.0), ("big", 9000.0))
-    assert told.told.retry_after and told.told.max_attempts == 3 and not told.told.second_copies
+    assert [band.name for band in told.settings.classes] == ["lectura", "consigna"]
+    assert (
+        told.settings.classes[1].effect.name == "UNSAFE" and told.settings.classes[0].deadline_us == 1_500_000
+    )
+    assert told.settings.kind_memory_mb == (("std", 8000.0), ("big", 9000.0))
+    assert told.settings.retry_after and told.settings.max_attempts == 3 and not told.settings.second_copies
     assert (told.streams, told.idle_us, told.dial_us, told.sockets) == (32, 30_000_000, 250_000, 256)
     assert told.zones == ("east",) and told.kinds == ("std", "big") and len(told.known) == 1
 
