--- a/tests/outagebench.py
+++ b/tests/outagebench.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import itertools
 import json
+import os
 import random
 import signal
 import socket
@@ -28,10 +30,15 @@
 STOPS = ("silent", "trickle", "ahead", "repeats", "moved")  # forms in which the list stops; the others break
 
 
+# Ports that no outgoing connection is given, so that they are there again after a restart; test processes
+# that run side by side have ranges of their own.
+PORTS = itertools.count(12_000 + 2_000 * int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]))
+
+
 def free_port():
-    """A port that no outgoing connection is given, so that it is there again after a restart."""
+    """A port that nobody else is given."""
     while True:
-        port = random.randint(12_000, 30_000)
+        port = next(PORTS)
         with socket.socket() as free, suppress(OSError):
             free.bind((HOST, port))
             return port
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -43,6 +43,7 @@
 from swiftwell.fronts.fastcgi.pending import MAX_SILENT_SWEEPS
 from swiftwell.fronts.trigger import Ran
 from swiftwell.gateway import ports
+from swiftwell.gateway.orders import Order
 from swiftwell.interface import Status
 from swiftwell.workers.resp import connection as rc
 
@@ -243,7 +244,8 @@
         async with Gate(echo) as gate, router(tmp_path, [gate.port], settings=patient()) as node:
             await until(lambda: node.engine._wheel)
             node.engine._now = node.clock.now_us()
-            node.engine._ordered(9, "s-00000001", KEY, node.engine._now, node.engine._now + 10_000)
+            order = Order("s-00000001", KEY, 1, node.engine._now, node.engine._now + 10_000)
+            node.engine._ordered(9, order)
             node.link.order(ports.Order(9, "s-00000001", KEY, 1, 10.0, 1))
             await until(lambda: not node.engine._orders)
             await until(lambda: not node.link._orders)
