--- a/swiftwell/discovery/worker_leases.py
+++ b/swiftwell/discovery/worker_leases.py
@@ -14,9 +14,14 @@
 from swiftwell.discovery.staleness import ListStaleness
 
 NEVER_US = -(1 << 62)
-DECISION_US = 40_000  # us of a lease that a decision leaves for the way to the kernel: a turn, a busy core
-HANDOVER_US = 10_000  # us left at the hand-over, for the way to the worker
-MARGIN_PART = 4  # a margin takes one part in so many of the grace at most, so that a short one leaves a lease
+DECISION_US = (
+    100_000  # us of a lease that a decision leaves for the way to the hand-over: a connection, a turn
+)
+HANDOVER_US = 60_000  # us left at the hand-over: a process with a part of a core may be held before its write
+DECISION_PART, HANDOVER_PART = (
+    4,
+    8,
+)  # of the grace that each takes at most, so that a short one leaves a lease
 RECONNECT_US = 100_000  # us without a connection within which no process ends, starts anew and listens again
 
 
@@ -39,8 +44,8 @@
         self._leases: dict[str, _Lease] = {}
         self._events: list[io.Restarted | io.ListState] = []
         self.stale = False  # as the events told it last
-        part_us = (grace_us or 0) // MARGIN_PART
-        self._decision_us, self._handover_us = min(DECISION_US, part_us), min(HANDOVER_US, part_us)
+        self._decision_us = min(DECISION_US, (grace_us or 0) // DECISION_PART)
+        self._handover_us = min(HANDOVER_US, (grace_us or 0) // HANDOVER_PART)
 
     def __len__(self) -> int:
         return len(self._leases)
