--- a/tests/outagebench.py
+++ b/tests/outagebench.py
@@ -16,7 +16,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
-from platformbench import HOST, Front, document, endpoint, fields, frame, said, settings
+from platformbench import HOST, Front, document, endpoint, fields, frame, read_command, said, settings
 from test_platform import Process, id_
 from test_soak import CoreWaits, Lag
 
@@ -102,11 +102,7 @@
         self._writers.add(writer)
         try:
             while True:
-                words = []
-                for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
-                    size = int((await reader.readuntil(b"\r\n"))[1:])
-                    words.append((await reader.readexactly(size + 2))[:-2])
-                self._take(words, writer)
+                self._take(await read_command(reader), writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
--- a/tests/platformbench.py
+++ b/tests/platformbench.py
@@ -100,6 +100,15 @@
             writer.close()
 
 
+async def read_command(reader):
+    """The words of the next command to a worker."""
+    words = []
+    for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
+        size = int((await reader.readuntil(b"\r\n"))[1:])
+        words.append((await reader.readexactly(size + 2))[:-2])
+    return words
+
+
 class Worker(Served):
     """A worker that answers commands as `play` says: it takes (worker, connection, words) and may write."""
 
@@ -112,10 +121,7 @@
         self.writers.append(writer)
         try:
             while True:
-                words = []
-                for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
-                    size = int((await reader.readuntil(b"\r\n"))[1:])
-                    words.append((await reader.readexactly(size + 2))[:-2])
+                words = await read_command(reader)
                 self.got.append(words)
                 await self.play(self, writer, words)
         except (asyncio.IncompleteReadError, ConnectionError):
