--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,10 +12,11 @@
 from test_failing_calls import believed
 from test_platform import Process, id_
 from test_request_deadlines import connect
-from test_resp import Play
+from test_resp import OTHER, Play
 
 from swiftwell import interface as io
 from swiftwell.fronts.fastcgi import codec
+from swiftwell.gateway import ports
 from swiftwell.interface import Status
 from swiftwell.platform import startup
 
@@ -144,6 +145,53 @@
     run(main())
 
 
+def test_while_the_list_is_overdue_one_connection_to_a_worker_is_kept_by_a_word_in_time():
+    """It shows that the process is the one that the list named."""
+
+    async def main():
+        async with Worker(echo) as worker:
+            play = Play({"w": worker.port}, idle_s=30.0)
+            play.link._keeps_alive = lambda: True
+            play.start()
+            play.start(call="c2", id_=OTHER)
+            await play.ends(2)
+            connections = play.link._workers["w"].connections
+            assert len(connections) == 2
+            for one in connections:
+                one.used -= 0.71 * 30.0  # as if so much time had passed
+            play.link.sweep()
+            await until(lambda: play.link.open == 1)
+            await until(lambda: worker.got[-1][0] == b"HELO")
+            play.link.sweep()
+            assert play.link.open == 1 and play.link.counts["kept_alive"] == 1
+            play.link.close()
+
+    run(main())
+
+
+def test_the_hand_over_asks_for_proof_on_every_path_and_only_questions_pass_without():
+    async def main():
+        async with Worker(echo) as worker:
+            play = Play({"w": worker.port})
+            play.start()  # over a connection that comes up
+            await play.ends()
+            play.link._serves = lambda worker: False
+            play.start(call="c2", id_=OTHER)  # at once, over one that stands
+            play.link.order(ports.Order(1, "w", "f", 1, 10.0, 1))
+            play.link.order(ports.Order(2, "w", "f", 0, 10.0, 1))
+            play.link.flush()
+            await play.ends(4)
+            ends = [(type(end).__name__, end.status) for end in play.told[1:]]
+            assert sorted(ends) == [
+                ("AttemptEnd", Status.MOOT), ("OrderEnd", Status.OK), ("OrderEnd", Status.MOOT),
+            ]  # fmt: skip
+            assert [words[0] for words in worker.got] == [b"FN", b"SPAWN"]
+            assert worker.got[1][2].endswith(b"instances=0")
+            play.link.close()
+
+    run(main())
+
+
 @pytest.mark.parametrize("scope", ["zone", "cell"])
 def test_a_keyed_call_goes_to_no_other_group_also_where_its_own_has_gone(scope):
     keyed = io.RequestClass("keyed", 800_000, 3_000_000, io.Effect.KEYED, scope, 2_000_000, False, 1.0, 0.1)
