What the engine learns of workers is a module of its own; one loop of tries at a start

gateway/evidence feeds the leases and tells the decisions and the log; platform/startup decides in one place whether a failed call is tried again.

--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -26,6 +26,7 @@
 from swiftwell.gateway import ports
 from swiftwell.gateway.calls import Attempt, Call, Waiter
 from swiftwell.gateway.effects import Entry, Ledger, Record, Verdict
+from swiftwell.gateway.evidence import Evidence
 from swiftwell.gateway.orders import Order
 from swiftwell.gateway.wheel import Wheel
 from swiftwell.handover import snapshot
@@ -78,6 +79,9 @@
         leases: WorkerLeases | None = None,
     ) -> None:
         self._settings, self._seed, self._make, self._leases = told, seed, make, leases
+        self._evidence: Evidence | None = None
+        if leases is not None:  # what it emits comes ahead of what is decided by it
+            self._evidence = Evidence(leases, lambda event: self._events.append(event), self._log)
         self.observer: Observer | None = None
         self._shed_us = 0  # how long the trigger at hand is sent away for
         self._hidden: dict[str, frozenset[str]] = {}  # see `hide`
@@ -135,10 +139,12 @@
         self._now, self._wall, self._out = max(now_us, self._now), wall_us, []
         if self._part_until and self._now >= self._part_until:
             self.divide_by(self._part_then)
-        self._learn_leases()
+        if self._evidence:
+            self._evidence.advance(self._now)
         for given in inputs:
             self._guarded(self._take, given)
-        self._learn_leases()
+        if self._evidence:
+            self._evidence.advance(self._now)
         due = self._wheel.due(self._now)
         tokens = [io.Timer(what[1]) for what in due if isinstance(what, tuple) and what[0] == self._books]
         late = min((self.router.due(event) for event in tokens), default=self._now)
@@ -193,27 +199,6 @@
             self._give_up(call)
             self._drop(call)
 
-    def _learn_leases(self) -> None:
-        """What the age of the list, and workers' own answers, mean to the module."""
-        if self._leases is None:
-            return
-        for event in self._leases.advance(self._now):
-            if isinstance(event, io.ListState):
-                self._log_list(event.stale)
-            else:
-                self._log("info", "worker", worker=event.worker, state="starting", by="its connections")
-            self._events.append(event)
-
-    def _log_list(self, stale: bool) -> None:
-        staleness = self._leases.staleness
-        if not stale:
-            self._log("info", "list-current")
-        elif staleness.current_us is None:  # as after every start, until the source has said that it is so
-            self._log("info", "list-unconfirmed")
-        else:
-            why, age_ms = staleness.why(), (self._now - staleness.current_us) // 1_000
-            self._log("warning", "list-stale", age_ms=age_ms, why=why)
-
     def _pump(self) -> None:
         """Give the module what waits, one event at a time, so that a failure concerns one event."""
         while self._events:
@@ -248,11 +233,9 @@
                 self._durable(given.number)
             case ports.OrderEnd():
                 self._order_ended(given)
-            case ports.WorkerConnected() if self._leases:
-                self._leases.connected(given.worker, given.at_us)
-                self._learn_leases()  # before anything that is decided by what came on it
-            case ports.WorkerDisconnected() if self._leases:
-                self._leases.disconnected(given.worker, given.at_us)
+            case ports.WorkerConnected() | ports.WorkerDisconnected():
+                if self._evidence:
+                    self._evidence.connection(given, self._now)
             case ports.Copy():
                 self._events.append(io.Loaded(given.worker, given.function, Status.OK, 0, given.copies))
             case ports.Listed():
@@ -465,8 +448,8 @@
         if (end.ran is Ran.NEVER) != (end.status in io.NEVER_RAN):
             raise AssertionError(f"{end.status!r} does not agree with {end.ran!r}")
         self._word(attempt.worker, end)
-        if self._leases and end.status is Status.OK:
-            self._leases.took(attempt.worker, end.sent_us)
+        if self._evidence:
+            self._evidence.call_ended(attempt.worker, end)
         if end.status is Status.OK and not call.settled:
             body, attempts = end.body, len(call.attempts)
             self._settle(call, Answer(Kind.SERVED, tr.OK, body, worker=attempt.worker, attempts=attempts))
@@ -508,7 +491,8 @@
         self._wheel.cancel(order.timer)
         self._word(worker, end)
         self.ends[f"{'question' if asked else 'order'}/{end.status.name.lower()}"] += 1
-        self._learn_from_answer(worker, end, asked)
+        if self._evidence:
+            self._evidence.order_ended(worker, end, asked, self._now)
         if end.status is not Status.OK:
             what, how = "question-ended" if asked else "order-ended", end.status.name.lower()
             self._log("info", what, worker=worker, function=function, how=how, copies=end.copies)
@@ -516,17 +500,6 @@
             io.Loaded(worker, function, end.status, self._now - order.sent_us, end.copies, asked)
         )
 
-    def _learn_from_answer(self, worker: str, end: ports.OrderEnd, asked: bool) -> None:
-        """A worker that drains turns orders and questions away; a question has no other reason to be."""
-        if self._leases is None or not end.answered:
-            return
-        if end.status is Status.OK:
-            self._leases.took(worker, end.sent_us)
-            self._learn_leases()
-        elif asked and end.status is Status.FULL:
-            self._leases.turned_away(worker)
-            self._log("info", "worker", worker=worker, state="draining", by="its answer")
-
     def _confirm(self, members: io.Members) -> None:
         """The first whole list names which workers of believed books are still there; the others are
         forgotten."""
--- a/swiftwell/platform/startup.py
+++ b/swiftwell/platform/startup.py
@@ -6,7 +6,7 @@
 import errno
 import time
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 from swiftwell.sockets import LOCAL_ERRORS
 
@@ -23,30 +23,40 @@
     return error.errno in PASSING_ERRORS and time.monotonic() + WAIT_S < until
 
 
-def started(call: Callable[[], Result], within_s: float = START_S) -> Result:
-    """What a call gives once it succeeds, before there is a loop.  Raises OSError as its last try did."""
-    until = time.monotonic() + within_s
-    while True:
+class _Tries(Generic[Result]):
+    """A call that is tried again while its failure may pass; `result` once it has succeeded."""
+
+    def __init__(self, call: Callable[[], Result], within_s: float) -> None:
+        self._call, self._until = call, time.monotonic() + within_s
+        self.result: Result
+
+    def failure(self) -> OSError | None:
+        """Try once: None where it succeeded, else a failure that may pass.  Raises OSError for any other."""
         try:
-            return call()
+            self.result = self._call()
         except OSError as error:
-            if not _may_pass(error, until):
+            if not _may_pass(error, self._until):
                 raise
+            return error
+        return None
+
+
+def started(call: Callable[[], Result], within_s: float = START_S) -> Result:
+    """What a call gives once it succeeds, before there is a loop.  Raises OSError as its last try did."""
+    tries = _Tries(call, within_s)
+    while tries.failure():
         time.sleep(WAIT_S)
+    return tries.result
 
 
 async def opened(
     call: Callable[[], Result], failed: Callable[[OSError], None], within_s: float = START_S
 ) -> Result:
-    """As `started`, within a loop; `failed` is told of the first failure."""
-    until, told = time.monotonic() + within_s, False
-    while True:
-        try:
-            return call()
-        except OSError as error:
-            if not _may_pass(error, until):
-                raise
-            if not told:
-                failed(error)
-                told = True
+    """As `started`, within a loop; `failed` is called with the first failure."""
+    tries, first = _Tries(call, within_s), True
+    while error := tries.failure():
+        if first:
+            failed(error)
+            first = False
         await asyncio.sleep(WAIT_S)
+    return tries.result
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -152,6 +152,7 @@
         async with Worker(echo) as worker:
             play = Play({"w": worker.port}, idle_s=30.0)
             play.link._keeps_alive = lambda: True
+            play.link._earned = 2.0  # so that the second request has a connection of its own
             play.start()
             play.start(call="c2", id_=OTHER)
             await play.ends(2)
@@ -180,7 +181,7 @@
             play.link.order(ports.Order(1, "w", "f", 1, 10.0, 1))
             play.link.order(ports.Order(2, "w", "f", 0, 10.0, 1))
             play.link.flush()
-            await play.ends(4)
+            await until(lambda: len(play.told) == 4)
             ends = [(type(end).__name__, end.status) for end in play.told[1:]]
             assert sorted(ends) == [
                 ("AttemptEnd", Status.MOOT), ("OrderEnd", Status.OK), ("OrderEnd", Status.MOOT),
