--- a/swiftwell/choice.py
+++ b/swiftwell/choice.py
@@ -314,7 +314,7 @@
 
     def _unproven(self, worker: rec.Worker) -> bool:
         """Not known to serve, and not to be asked, or asked and silent: as a worker that hangs."""
-        if self.list_serves or self._serves(worker):
+        if self._serves(worker):
             return False
         return not self.told.may_load or (worker.asked > 0 and self.now - worker.asked >= ANSWER_US)
 
@@ -563,9 +563,12 @@
 
     def _loaded(self, event: io.Loaded) -> None:
         worker, function = self.workers.get(event.worker), self.functions.get(event.function)
-        if worker and event.asked:
+        if worker is None:
+            return
+        if event.asked:
             self._answered(worker, event)
-        if worker is None or function is None or event.asked:
+            return
+        if function is None:
             return
         coming, stand = worker.coming.get(function.name), event.copies > 0
         self.news.add(function.name)
--- a/swiftwell/discovery/journal.py
+++ b/swiftwell/discovery/journal.py
@@ -24,9 +24,7 @@
 
 MOST_RECORDS = 20_000  # records of a frame: a list of so many workers is far beyond a tier
 SILENT_S = OVERDUE_US / 1e6  # s without a frame, one a second is promised: the service has stopped
-SETTLED_S = (
-    0.5  # s that a connection must stand for its word that nothing is new: the first one costs nothing
-)
+SETTLED_S = 0.5  # s that a connection must stand for its word that nothing is new: the first costs nothing
 LEAST_PROGRESS = 4_096  # bytes of a frame within that time that show that it comes: 150 workers of thousands
 LOOK_S = 0.1  # s between looks at it
 AGAIN_S = (0.02, 0.1)  # s before asking again; what was missed may count as told 2 s after a break
--- a/swiftwell/discovery/worker_leases.py
+++ b/swiftwell/discovery/worker_leases.py
@@ -14,14 +14,10 @@
 from swiftwell.discovery.staleness import ListStaleness
 
 NEVER_US = -(1 << 62)
-DECISION_US = (
-    100_000  # us of a lease that a decision leaves for the way to the hand-over: a connection, a turn
-)
+DECISION_US = 100_000  # us of a lease left at a decision, for the way to the hand-over: a connection, a turn
 HANDOVER_US = 60_000  # us left at the hand-over: a process with a part of a core may be held before its write
-DECISION_PART, HANDOVER_PART = (
-    4,
-    8,
-)  # of the grace that each takes at most, so that a short one leaves a lease
+DECISION_PART = 4  # a decision leaves one part in so many of the grace at most: a short one leaves a lease
+HANDOVER_PART = 8  # likewise the hand-over
 RECONNECT_US = 100_000  # us without a connection within which no process ends, starts anew and listens again
 
 
@@ -81,9 +77,8 @@
         """How many workers are proven to serve, drain by their own word, and are unproven."""
         found = {"proven": 0, "draining": 0, "unproven": 0}
         for name, lease in self._leases.items():
-            found[
-                "draining" if lease.draining else "proven" if self.serves(name, now_us) else "unproven"
-            ] += 1
+            state = "proven" if self.serves(name, now_us) else "unproven"
+            found["draining" if lease.draining else state] += 1
         return found
 
     # What is learnt.
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -45,7 +45,6 @@
 @dataclass(slots=True, eq=False)
 class _Worker:
     connections: list[Connection] = field(default_factory=list)
-    up: int = 0  # of them, those that came up
     judging: Connection | None = None  # shows whether the process lives
     gone: bool = False
 
@@ -231,7 +230,6 @@
         if worker:
             worker.connections.remove(connection)
             if connection.up:
-                worker.up -= 1
                 self._stands(ports.WorkerDisconnected(connection.worker, _now_us()))
             if worker.gone and not worker.connections:
                 del self._workers[connection.worker]
@@ -295,7 +293,6 @@
         """A connection stands now."""
         worker = self._workers.get(connection.worker)
         if worker:
-            worker.up += 1
             self._stands(ports.WorkerConnected(connection.worker, _now_us()))
 
     def reaches(self, connection: Connection) -> bool:
