--- a/review/1/case.py
+++ b/review/1/case.py
@@ -47,10 +47,10 @@
                 log.result(f"endless client: {line}")
         alive = router.process.poll() is None
     finally:
-        for process in filter(None, (bad, getattr(router, "process", None))):
-            if process.poll() is None:
-                process.kill()
-            process.wait()
+        router.end()
+        if bad is not None and bad.poll() is None:
+            bad.kill()
+            bad.wait()
     made = {body for worker in workers for bodies in worker.bodies.values() for body in bodies}
     lost = [sent for sent in front.sent if sent.fault]
     wrong = [sent for sent in front.sent if sent.status == 200 and sent.body not in made]
--- a/review/standins.py
+++ b/review/standins.py
@@ -101,7 +101,8 @@
 class Journal:
     """Sends every event after the number that a router names, and an empty frame each second."""
 
-    def __init__(self) -> None:
+    def __init__(self, zones: tuple[str, ...] = ("temuco-1",)) -> None:
+        self.zones = zones
         self.events: list[tuple[int, bool, list[tuple[Worker, str]]]] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self.port = 0
@@ -118,8 +119,8 @@
         entries = []
         for number, whole, workers in self.events:
             endpoints = [
-                {"name": w.name, "address": f"{HOST}:{w.port}", "zone": "temuco-1", "type": "rapido",
-                 "group": 0, "status": status, "weight": 1, "since_ms": w.since_ms}
+                {"name": w.name, "address": f"{HOST}:{w.address}", "zone": self.zones[w.zone],
+                 "type": "rapido", "group": w.cell, "status": status, "weight": 1, "since_ms": w.since_ms}
                 for w, status in workers
             ]  # fmt: skip
             hosts = {"index": number, "snapshot": whole, "endpoints": endpoints}
@@ -127,10 +128,10 @@
         return {"pos": len(self.events), "entries": entries}
 
     def _frame(self, number: int, whole: bool, workers: list[tuple[Worker, str]]) -> bytes:
-        states = {"up": 0, "draining": 1, "removed": 2}
+        states, host = {"up": 0, "draining": 1, "removed": 2}, socket.inet_aton(HOST)
         payload = b"".join(
             struct.pack(
-                ">I4sHBBBHIQ", w.number, socket.inet_aton(HOST), w.port, states[s], 0, 0, 0, 1000, w.since_ms
+                ">I4sHBBBHIQ", w.number, host, w.address, states[s], w.zone, 0, w.cell, 1000, w.since_ms
             )
             for w, s in workers
         )
@@ -177,8 +178,12 @@
 class Worker:
     """A worker that loads a copy at a function's first request and answers each with a body of its own."""
 
-    def __init__(self, number: int, record: Record, play: Play | None = None) -> None:
+    def __init__(
+        self, number: int, record: Record, play: Play | None = None, zone: int = 0, cell: int = 0
+    ) -> None:
         self.number, self.name, self.since_ms, self.port = number, f"s-{number:08x}", 0, 0
+        self.zone, self.cell = zone, cell
+        self.address = 0  # the port that the list names: the worker's own, or that of a proxy before it
         self._record, self.play = record, play or ordinary
         self.copies: set[str] = set()
         self.runs: list[Run] = []
@@ -188,7 +193,7 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = self.address = self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         runs: dict[bytes, Run] = {}
@@ -365,6 +370,7 @@
     def __init__(self, port: int, log: Record, seed: int, connections: int = 4) -> None:
         self._port, self._log, self._random = port, log, random.Random(seed)
         self._size, self._connections = connections, []
+        self.owner = "temuco-centro"
         self.sent: list[Sent] = []
         self.keys = [f"{self._random.getrandbits(64):016x}" for _ in range(6)]
         self.lanes = ("lectura", "consulta", "consigna")
@@ -379,7 +385,7 @@
         )  # fmt: skip
         parameters = {
             "SCRIPT_NAME": f"/api/v2/{sent.lane}", "REQUEST_METHOD": "POST", "HTTP_REQ_ID": sent.id,
-            "HTTP_REQ_WAIT_MS": str(round(sent.wait_s * 1000)), "HTTP_REQ_OWNER": "temuco-centro",
+            "HTTP_REQ_WAIT_MS": str(round(sent.wait_s * 1000)), "HTTP_REQ_OWNER": self.owner,
             "HTTP_REQ_KEY": sent.key, "HTTP_REQ_COST": "8.2", "HTTP_X_TAGS": "memory_mb:512;lanes:2",
         }  # fmt: skip
         return sent, parameters, rng.randbytes(200)
@@ -467,6 +473,7 @@
             self.port = free.getsockname()[1]
         self.file = folder / "config.json"
         self.log_file = folder / "router.log"
+        self.process: subprocess.Popen | None = None
 
     def write_configuration(self) -> None:
         address = f"{HOST}:{self.port}"
@@ -518,10 +525,11 @@
         self.process.send_signal(number)
 
     def end(self) -> None:
-        """End the process, if it has not ended."""
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
+        """End the process, if it was started and has not ended."""
+        if self.process is not None:
+            if self.process.poll() is None:
+                self.process.kill()
+            self.process.wait()
 
 
 def run_case(folder: Path, play: Callable[[Path, Record, bool], Awaitable[bool]]) -> int:
