--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." || exit 2
+cd "$(dirname "$0")/../.." && test -x .venv/bin/python || exit 2
 exec .venv/bin/python -B review/1/case.py
--- a/review/standins.py
+++ b/review/standins.py
@@ -535,6 +535,7 @@
 def run_case(folder: Path, play: Callable[[Path, Record, bool], Awaitable[bool]]) -> int:
     """Play a case with a folder for its files; `play` returns whether the rule held.  Gives the exit code."""
     log, trouble = Record(folder), os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))  # ends what it started as well
     log.write(f"with the disruption: {'yes' if trouble else 'no'}")
     try:
         with tempfile.TemporaryDirectory() as scratch:
