A client that sends without an end stops nobody else: reads take turns

The client itself got no refusal and no close.

Cause: `Connection.run` awaited read after read of its stream. A read ends at once where the kernel holds bytes, and awaiting a future that is done does not return to the event loop. So no other socket, no timer, no signal was served and no queued refusal was flushed.

Evidence: the router's own figures, logged after such a time, show one lag of the loop as long as the sending (40,067 ms beside a client that sent for 40 s; 1.9 ms without one).

Fix: `fair_reads`. After a read that did not wait, the loop runs once; after a full one, which leaves bytes in the kernel, connections take turns, one in each iteration of the loop, so that the cost of an iteration does not grow with their number. What waits for its turn counts as not idle. A read has 4,096 bytes (65,536 before), the first of a connection 2,048, as a batch of accepted ones reads them in one iteration. A session that only brings records of no request for 2 s (the rest of a refused one, management, empty records) is closed; never under an open request. Bytes left behind by a full read no longer count as new since the last poll of the loop.

--- a/swiftwell/fronts/fastcgi/arrival.py
+++ b/swiftwell/fronts/fastcgi/arrival.py
@@ -30,18 +30,35 @@
 
 
 class ArrivalClock:
-    """Ages of the requests of one connection.  `checked_s`: when it was last checked, monotonic s."""
+    """Ages of the requests of one connection.
 
-    __slots__ = ("_checked_s",)
+    `empty_s`: when the connection was last known to have no unread bytes, monotonic s.
+    """
 
-    def __init__(self, checked_s: float) -> None:
-        self._checked_s = checked_s
+    __slots__ = ("_backlogged", "_empty_s")
 
-    def ages_s(self, connected: socket.socket, now_s: float, unseen_s: float) -> tuple[float, float]:
+    def __init__(self, empty_s: float) -> None:
+        self._empty_s = empty_s
+        self._backlogged = False  # the last read left bytes in the kernel
+
+    def mark_empty(self, now_s: float) -> None:
+        """The connection has no unread bytes."""
+        self._empty_s, self._backlogged = now_s, False
+
+    def ages_s(
+        self, connected: socket.socket, now_s: float, unseen_s: float, left_behind: bool
+    ) -> tuple[float, float]:
         """Upper bounds of the age of the newest bytes of a read, and of all its other bytes.
 
-        `unseen_s`: upper bound of the time for which the event loop has not polled its sockets.
+        `unseen_s`: upper bound of the time for which the event loop has not polled its sockets, which says
+        nothing of bytes that an earlier read left behind.  `left_behind`: this read did so
+        too, or may have.
         """
-        unseen, self._checked_s = min(now_s - self._checked_s, unseen_s), now_s
+        waited_s = now_s - self._empty_s
+        unseen = waited_s if self._backlogged else min(waited_s, unseen_s)
+        if left_behind:
+            self._backlogged = True
+        else:
+            self.mark_empty(now_s)
         newest = newest_age_s(connected) if unseen > 0 else None
         return (unseen if newest is None else min(newest, unseen)), unseen
--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -17,6 +17,7 @@
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
+from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.fronts.fastcgi import request as rq
 from swiftwell.fronts.fastcgi.arrival import ArrivalClock
 from swiftwell.fronts.fastcgi.pending import MAX_SILENT_SWEEPS
@@ -24,7 +25,7 @@
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.trigger import TOO_MANY, Answer, Kind, Trigger
 
-READ_BYTES = 65_536  # per read: four of the largest bodies
+READ_BYTES = 4_096  # per read, which may hold 128 requests without parameters
 MAX_UNSENT_BYTES = 1 << 20  # beyond this a client counts as not reading; the output of one flush comes on top
 REFUSAL_STATUS = {TOO_MANY: 429}  # HTTP status of a refusal by its reason; 503 for all others
 
@@ -38,6 +39,7 @@
     draining: bool
     open_ids: set[str]
     rejections: Counter[str]
+    read_turns: ReadTurns
 
     def unseen_s(self) -> float:
         """Upper bound of the time for which the event loop has not polled its sockets."""
@@ -70,19 +72,23 @@
 class Connection:
     """One connection and its session.
 
-    `checked_s`: when the connection was last known to have no unread bytes, monotonic s.
+    `empty_s`: when the connection was last known to have no unread bytes, monotonic s.  `left_behind`: the
+    read of its first bytes may have left others in the kernel.
     """
 
-    def __init__(self, listener: Owner, stream: IOStream, number: int, checked_s: float) -> None:
+    def __init__(
+        self, listener: Owner, stream: IOStream, number: int, empty_s: float, left_behind: bool = False
+    ) -> None:
         self._listener, self.stream, self.name = listener, stream, number
         self.session = Session()
-        self._arrivals = ArrivalClock(checked_s)
+        self._arrivals = arrivals = ArrivalClock(empty_s)
+        mark_empty = lambda: arrivals.mark_empty(time.monotonic())  # noqa: E731
+        self._reader = FairReader(stream, READ_BYTES, listener.read_turns, mark_empty, left_behind)
         self.triggers: dict[int, Trigger] = {}
         self.silent_sweeps = 0  # since the connection was opened, or since its last request or response
         self._output: list[bytes] = []
         self._close_requested = False  # the client asked for the close after an answered request
         self.finishing = False  # no further request is taken
-        self._reading: asyncio.Future[bytes] | None = None
         self._writing: asyncio.Future[None] | None = None
 
     @property
@@ -96,37 +102,34 @@
 
     @property
     def _unprocessed_read(self) -> bool:
-        """Whether a completed read, of bytes or the end of the stream, has not been processed by `run`."""
-        return self._reading is not None and self._reading.done()
+        """Whether `run` has something to process: a completed read, or bytes that wait for their turn."""
+        return self._reader.has_unprocessed or self._reader.waits_for_turn
 
     async def run(self) -> None:
         """Serve until the connection ends."""
         try:
             while True:
-                self._reading = self.stream.read_bytes(READ_BYTES, partial=True)
-                data = await self._reading
-                self._reading = None
+                data = await self._reader.read()
                 if not self.finishing:  # else read only so that nothing is unread at the close
-                    self.receive(data)
+                    self.receive(data, len(data) >= READ_BYTES)
         except (OSError, StreamClosedError):
             pass
         finally:
-            # The future's exception refers to this frame, so keeping it would form a reference cycle;
+            # The exception of the last read refers to this frame, so keeping it would form a reference cycle;
             # thousands of these per minute caused full garbage collections of 0.15 s, in which no response
             # was sent.
-            self._reading = None
+            self._reader.close()
             self.stream.close()
             self._listener.connection_ended(self)
 
-    def receive(self, data: bytes) -> None:
-        """Process bytes from the client."""
+    def receive(self, data: bytes, left_behind: bool) -> None:
+        """Process bytes from the client.  `left_behind`: the kernel may hold bytes that came after them."""
         newest_s, others_s = self._arrivals.ages_s(
-            self.stream.socket, time.monotonic(), self._listener.unseen_s()
+            self.stream.socket, time.monotonic(), self._listener.unseen_s(), left_behind
         )
-        more = len(data) >= READ_BYTES  # the kernel may hold bytes that arrived after these
         for event in self.session.events(data):
             if isinstance(event, RequestReceived):
-                self._request_received(event, newest_s if event.newest and not more else others_s)
+                self._request_received(event, newest_s if event.newest and not left_behind else others_s)
             elif isinstance(event, RequestAborted):
                 self._request_aborted(event.number)
         self.silent_sweeps = 0 if self.session.had_request else self.silent_sweeps
@@ -252,9 +255,9 @@
         """
         if self.finishing or self.stream.closed():
             return
-        if self._unprocessed_read and not self._reading.cancelled() and self._reading.exception() is None:
-            data, self._reading = self._reading.result(), None
-            self.receive(data)  # requests that have been read must be answered as well
+        if data := self._reader.take_unprocessed():
+            # Requests that have been read must be answered as well.
+            self.receive(data, len(data) >= READ_BYTES)
             if self.finishing:  # these bytes broke the connection, which has called `finish`
                 return
         self.finishing = True
--- a/swiftwell/fronts/fastcgi/listener.py
+++ b/swiftwell/fronts/fastcgi/listener.py
@@ -16,10 +16,11 @@
 
 from tornado.ioloop import PeriodicCallback
 
+from swiftwell.fair_reads import ReadTurns
 from swiftwell.fronts.fastcgi import request as rq
 from swiftwell.fronts.fastcgi.acceptor import Acceptor
 from swiftwell.fronts.fastcgi.connection import READ_BYTES, Connection
-from swiftwell.fronts.fastcgi.pending import PendingConnections, reject
+from swiftwell.fronts.fastcgi.pending import FIRST_READ_BYTES, PendingConnections, reject
 from swiftwell.fronts.host import Host
 from swiftwell.sockets import TcpStream
 
@@ -50,12 +51,13 @@
         self.host, self.contract, self.healthy = host, contract, healthy
         self.max_connections = max_connections
         self.unseen_s = unseen_s
+        self.read_turns = ReadTurns()
         self.port = 0  # set by `open`
         self.draining = False
         self.open_ids: set[str] = set()  # ids of open requests
         self.connections: dict[Connection, None] = {}  # least recently used first
         self.closing: dict[Connection, None] = {}  # closed by us, waiting for the client's close
-        self.pending = PendingConnections(self._opened, READ_BYTES)
+        self.pending = PendingConnections(self._opened)
         self.rejections: Counter[str] = Counter()
         self.counts = dict.fromkeys(("accepted", "evicted", "refused", "broken", "exhausted"), 0)
         self._acceptor = Acceptor(self._accepted, self._exhausted)
@@ -78,23 +80,24 @@
         while len(self) >= self.max_connections:  # an evicted connection may hold its descriptor for a while
             if not self._evict():
                 self.counts["refused"] += 1
-                reject(connected, READ_BYTES)
+                reject(connected)
                 return
         self.counts["accepted"] += 1
         self.pending.add(connected)
 
-    def _opened(self, connected: socket.socket, data: bytes, checked_s: float) -> None:
+    def _opened(self, connected: socket.socket, data: bytes, empty_s: float) -> None:
         """Serve a connection whose first bytes have arrived, until it ends."""
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = TcpStream(connected, max_buffer_size=2 * READ_BYTES, read_chunk_size=READ_BYTES)
-        connection = Connection(self, stream, next(self._numbers), checked_s)
+        left_behind = len(data) >= FIRST_READ_BYTES
+        connection = Connection(self, stream, next(self._numbers), empty_s, left_behind)
         self.connections[connection] = None
         # `run` starts before the engine processes these bytes, so that an end of the connection which arrived
         # with them withdraws their requests.
         task = asyncio.ensure_future(connection.run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection.receive(data)
+        connection.receive(data, left_behind)
 
     def _exhausted(self) -> None:
         """The process is out of descriptors: free one that a client holds."""
--- a/swiftwell/fronts/fastcgi/pending.py
+++ b/swiftwell/fronts/fastcgi/pending.py
@@ -18,21 +18,23 @@
 from swiftwell.fronts.fastcgi.session import RequestReceived, Session, response_head
 
 EVICTION_READS = 4  # connections checked to find a silent one; bounds the cost of accepting a connection
+FIRST_READ_BYTES = 2_048  # of a connection: a batch of accepted ones may have as many first bytes at once
+MAX_REJECTED_BYTES = 65_536  # read of a connection that is rejected: the largest request fits
 MAX_SILENT_SWEEPS = 8  # 2 s without a byte; the platform requires the close within 3 s
 
 
 @dataclass(slots=True, eq=False)
 class _Pending:
     connected: socket.socket
-    checked_s: float  # when it was last known to have no unread bytes, monotonic
+    empty_s: float  # when it was last known to have no unread bytes, monotonic
     silent_sweeps: int = 0
 
 
-def reject(connected: socket.socket, read_bytes: int) -> None:
+def reject(connected: socket.socket) -> None:
     """Close a connection for lack of descriptors, after a 503 for each request that it has sent already."""
     session = Session()
     with contextlib.suppress(OSError):  # no bytes yet, or the client has left
-        for event in session.events(connected.recv(read_bytes)):
+        for event in session.events(connected.recv(MAX_REJECTED_BYTES)):
             if isinstance(event, RequestReceived):
                 session.output.append(session.finish_request(event.number, response_head(503)))
         connected.sendall(b"".join(session.output))
@@ -43,13 +45,12 @@
 class PendingConnections:
     """The pending connections, ordered by arrival.
 
-    `on_first_bytes` gets a connection, its first bytes and when it was last known to have no unread bytes.
+    `on_first_bytes` gets a connection, its first bytes (at most `FIRST_READ_BYTES`) and when it was last
+    known to have no unread bytes.
     """
 
-    def __init__(
-        self, on_first_bytes: Callable[[socket.socket, bytes, float], None], read_bytes: int
-    ) -> None:
-        self._on_first_bytes, self._read_bytes = on_first_bytes, read_bytes
+    def __init__(self, on_first_bytes: Callable[[socket.socket, bytes, float], None]) -> None:
+        self._on_first_bytes = on_first_bytes
         self._pending: dict[int, _Pending] = {}  # by descriptor
 
     def __len__(self) -> int:
@@ -104,9 +105,9 @@
         Returns whether it did either.
         """
         try:
-            data = pending.connected.recv(self._read_bytes)
+            data = pending.connected.recv(FIRST_READ_BYTES)
         except (BlockingIOError, InterruptedError):
-            pending.checked_s = time.monotonic()
+            pending.empty_s = time.monotonic()
             return False
         except OSError:
             data = b""
@@ -114,7 +115,7 @@
             self._close(pending)
             return True
         self._remove(pending)
-        self._on_first_bytes(pending.connected, data, pending.checked_s)
+        self._on_first_bytes(pending.connected, data, pending.empty_s)
         return True
 
     def _remove(self, pending: _Pending) -> None:
--- a/swiftwell/fronts/fastcgi/session.py
+++ b/swiftwell/fronts/fastcgi/session.py
@@ -19,6 +19,7 @@
 MAX_OPEN_REQUESTS = 32  # on a connection; limit set by the platform
 MAX_REJECTED = 64  # rejected numbers whose further records are ignored; no proper client has more
 MAX_INCOMPLETE_SWEEPS = 8  # of the listener, for a request: 2 s
+MAX_FRUITLESS_SWEEPS = 8  # of the listener, with records that belong to no request: 2 s
 
 
 @dataclass(slots=True, eq=False)
@@ -65,6 +66,8 @@
         self.broken = ""
         self.had_request = False  # a complete request has arrived
         self._stalled_sweeps = 0
+        self._fruitless_sweeps = 0
+        self._had_records = self._had_progress = False  # since the last sweep
         self._newest = True  # the current record is the last one of its read
 
     def receive(self, data: bytes) -> list[Event]:
@@ -83,10 +86,12 @@
             records = self._decoder.feed(data)
             if records or not self._decoder.partial:
                 self._stalled_sweeps = 0  # bytes alone are no progress: a record may trickle in without end
+            self._had_records |= bool(records)
             for position, (kind, number, content) in enumerate(records, 1):
                 events: list[Event] = []
                 self._newest = position == len(records) and not self._decoder.partial
                 self._record(kind, number, content, events)
+                self._had_progress |= bool(events)
                 yield from events
         except FastcgiError as error:
             self.broken = str(error)
@@ -140,11 +145,13 @@
                 self.reject(request.number, 431)
             else:
                 request.params += content
+                self._had_progress = True
         elif content:
             if len(request.body) + len(content) > MAX_BODY_BYTES:
                 self.reject(request.number, 413)
             else:
                 request.body += content
+                self._had_progress = True
         elif request.fields is None:
             raise FastcgiError("end of the body before the end of the params")
         else:
@@ -194,6 +201,18 @@
             self._stalled_sweeps += 1
             if self._stalled_sweeps > MAX_INCOMPLETE_SWEEPS:
                 self.broken = "record incomplete for too long"
+        self._sweep_fruitless()
+
+    def _sweep_fruitless(self) -> None:
+        """Break a connection that keeps sending records of no request, e.g. the rest of a rejected one.
+
+        Never while requests are open: these are answered first.
+        """
+        fruitless = self._had_records and not self._had_progress
+        self._fruitless_sweeps = self._fruitless_sweeps + 1 if fruitless else 0
+        self._had_records = self._had_progress = False
+        if self._fruitless_sweeps > MAX_FRUITLESS_SWEEPS and not self.open and not self.broken:
+            self.broken = "records of no request for too long"
 
     @property
     def idle(self) -> bool:
