--- a/swiftwell/discovery/journal.py
+++ b/swiftwell/discovery/journal.py
@@ -27,6 +27,7 @@
 SILENCE_TIMEOUT_S = SOURCE_TIMEOUT_US / 1e6  # without a frame, of which one a second is promised
 MIN_CONFIRMING_AGE_S = 0.5  # age of a connection from which its empty frames count; the first proves nothing
 MIN_PROGRESS_BYTES = 4_096  # of a frame within the silence timeout, else it is silence; about 150 workers
+READ_BYTES = 16_384  # per read, which may hold 600 workers
 POLL_INTERVAL_S = 0.1  # between checks for silence
 RETRY_DELAY_RANGE_S = (0.02, 0.1)  # a missed update may count as delivered 2 s after a break
 CONNECT_TIMEOUT_S = 0.5
@@ -369,4 +370,4 @@
 
 
 async def _read_some(stream: TcpStream) -> bytes:
-    return await stream.read_bytes(65_536, partial=True)
+    return await stream.read_bytes(READ_BYTES, partial=True)
--- a/swiftwell/fronts/amqp/client.py
+++ b/swiftwell/fronts/amqp/client.py
@@ -9,12 +9,14 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.fronts.amqp import codec
 from swiftwell.fronts.amqp.codec import Method, Properties
 from swiftwell.fronts.amqp.session import Blocked, ChannelEnded, Ended, Login, Ready, Session
 from swiftwell.fronts.amqp.wire import Incoming
 
 CHANNEL = 1
+READ_BYTES = 65_536  # per read
 
 
 class Refused(Exception):
@@ -107,9 +109,10 @@
         return self.publish_count
 
     async def _run(self, stream: IOStream, session: Session) -> None:
+        reader = FairReader(stream, READ_BYTES, ReadTurns())
         try:
             while session.state != "over":
-                data = await stream.read_bytes(262_144, partial=True)
+                data = await reader.read()
                 for event in session.feed(data):
                     self._on_event(session, event)
                 self._flush(stream)
--- a/swiftwell/fronts/amqp/link.py
+++ b/swiftwell/fronts/amqp/link.py
@@ -10,6 +10,7 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.fronts.amqp.consumer import BrokerLink, Consumer
 from swiftwell.fronts.amqp.contract import Contract
 from swiftwell.fronts.amqp.prefetch import TICK_US
@@ -17,7 +18,7 @@
 from swiftwell.fronts.host import Backoff, Host
 
 CONNECT_TIMEOUT_S = 5.0  # including the handshake
-READ_BYTES = 262_144  # per read
+READ_BYTES = 65_536  # per read, which may hold 8,192 frames
 
 
 class Link:
@@ -78,12 +79,12 @@
 
     async def _read_until_closed(self, stream: IOStream, session: Session) -> str:
         self.stream, self._close_reason = stream, ""
-        started_at = time.monotonic()
+        started_at, reader = time.monotonic(), FairReader(stream, READ_BYTES, ReadTurns())
         heartbeat_task = asyncio.ensure_future(self._check_heartbeats(session, started_at))
         try:
             self._flush()
             while session.state != "over":
-                data = await stream.read_bytes(READ_BYTES, partial=True)
+                data = await reader.read()
                 self.received_at = time.monotonic()
                 self._on_data(session, data)
         except StreamClosedError:
--- a/swiftwell/fronts/mqtt/connection.py
+++ b/swiftwell/fronts/mqtt/connection.py
@@ -10,6 +10,7 @@
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
+from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.fronts.mqtt.codec import (
     V5,
     Connack,
@@ -21,18 +22,27 @@
     encode,
 )
 
-READ_BYTES = 65_536  # per read
+READ_BYTES = 4_096  # per read, which may hold 2,048 packets
 
 
 class Connection:
     """Reads packets until the stream ends; writes to a closed connection are dropped.
 
     `version` is 0 on the server side until the CONNECT is received.  The connection is closed when more than
-    `max_unsent_bytes` wait for a peer that does not read.
+    `max_unsent_bytes` wait for a peer that does not read.  `read_turns` is shared by the connections of one
+    endpoint.
     """
 
-    def __init__(self, stream: IOStream, version: int, max_packet_bytes: int, max_unsent_bytes: int) -> None:
+    def __init__(
+        self,
+        stream: IOStream,
+        version: int,
+        max_packet_bytes: int,
+        max_unsent_bytes: int,
+        read_turns: ReadTurns | None = None,
+    ) -> None:
         self.stream = stream
+        self._reader = FairReader(stream, READ_BYTES, read_turns or ReadTurns())
         self.decoder = Decoder(version, max_packet_bytes)
         self.peer_max_packet_bytes = 0  # Maximum Packet Size of the peer; 0: no limit
         self.received_at = self.sent_at = time.monotonic()
@@ -54,7 +64,7 @@
         """
         try:
             while not self.closed:
-                data = await self.stream.read_bytes(READ_BYTES, partial=True)
+                data = await self._reader.read()
                 self.received_at = time.monotonic()
                 for packet in self.decoder.feed(data):
                     on_packet(packet)
@@ -66,6 +76,7 @@
             self.close(error.reason, str(error))
         finally:
             self.closed = True
+            self._reader.close()
             self.stream.close()
 
     def send(self, packets: Iterable[Packet]) -> None:
--- a/swiftwell/fronts/mqtt/endpoint.py
+++ b/swiftwell/fronts/mqtt/endpoint.py
@@ -18,6 +18,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
+from swiftwell.fair_reads import ReadTurns
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.mqtt.codec import (
     V5,
@@ -88,6 +89,7 @@
         self._host, self._contract, self._bounds, self._admit = host, contract, bounds, admit
         self.clients: dict[str, _Client] = {}
         self._connections: set[Connection] = set()
+        self._read_turns = ReadTurns()
         self._tasks: set[asyncio.Task] = set()
         self._server = _Server(self)
         self._sweep = PeriodicCallback(self.sweep, SWEEP_INTERVAL_S * 1_000)
@@ -123,7 +125,7 @@
         """Serve one connection until it ends."""
         bounds = self._bounds
         stream.set_nodelay(True)
-        connection = Connection(stream, 0, bounds.max_packet_bytes, bounds.max_unsent_bytes)
+        connection = Connection(stream, 0, bounds.max_packet_bytes, bounds.max_unsent_bytes, self._read_turns)
         if len(self._connections) >= bounds.max_connections:
             # Closed without a CONNACK, which would require reading the CONNECT for the protocol version.
             connection.abort("too many connections")
--- a/swiftwell/http/client.py
+++ b/swiftwell/http/client.py
@@ -7,8 +7,11 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.http.http1 import BadMessage, Parser, Request, Response, encode
 
+READ_BYTES = 65_536  # per read
+
 
 class Unreachable(Exception):
     """No response arrived; the text says why."""
@@ -34,10 +37,10 @@
             connecting = TCPClient().connect(self._host, self._port)
             self._stream = await asyncio.wait_for(connecting, self._connect_s)
         request.headers.setdefault("host", f"{self._host}:{self._port}")
-        parser = Parser(True, self._max_body)
+        parser, reader = Parser(True, self._max_body), FairReader(self._stream, READ_BYTES, ReadTurns())
         await self._stream.write(encode(request))
         while True:
-            for message in parser.feed(await self._stream.read_bytes(65_536, partial=True)):
+            for message in parser.feed(await reader.read()):
                 if isinstance(message, Response):
                     if not message.keep_alive or not parser.idle:
                         self.close()
--- a/swiftwell/http/server.py
+++ b/swiftwell/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -9,8 +10,11 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
+from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.http.http1 import BadMessage, MessageStarted, Parser, Request, Response, encode
 
+READ_BYTES = 16_384  # per read, which may hold some hundred small requests
+
 Handler = Callable[[Request, IOStream], Awaitable[Response | None]]
 
 
@@ -27,6 +31,7 @@
         super().__init__()
         self._handler, self._max_body, self._on_open = handler, max_body, on_open
         self.streams: set[IOStream] = set()
+        self._read_turns = ReadTurns()
 
     def start_on(
         self, port: int, address: str = "127.0.0.1", sockets: list[socket.socket] | None = None
@@ -40,10 +45,10 @@
         stream.set_nodelay(True)
         self.streams.add(stream)
         self._on_open(len(self.streams))
-        parser = Parser(False, self._max_body)
+        parser, reader = Parser(False, self._max_body), FairReader(stream, READ_BYTES, self._read_turns)
         try:
             while True:
-                for message in parser.feed(await stream.read_bytes(65_536, partial=True)):
+                for message in parser.feed(await reader.read()):
                     if isinstance(message, MessageStarted):
                         continue
                     assert isinstance(message, Request)
@@ -54,6 +59,7 @@
                     await stream.write(encode(response))
                     if not response.keep_alive:
                         return
+                    await asyncio.sleep(0)  # a read may hold many requests
         except BadMessage as error:
             if not stream.closed():
                 await stream.write(encode(Response(400, {}, f"{error}\n".encode(), keep_alive=False)))
--- a/swiftwell/workers/link.py
+++ b/swiftwell/workers/link.py
@@ -16,12 +16,14 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.fronts.trigger import Ran
 from swiftwell.gateway import ports
 from swiftwell.http.http1 import BadMessage, MessageStarted, Parser, Response, TooLarge, encode
 from swiftwell.interface import Status
 from swiftwell.workers import protocol
 
+READ_BYTES = 65_536  # per read
 IDLE_TIMEOUT_S = 30.0  # unused connections are closed after this
 
 
@@ -84,9 +86,10 @@
         A read is always pending, so that the peer's close is noticed at once.
         """
         too_large, error_text = False, ""
+        reader = FairReader(self.stream, READ_BYTES, self.link.read_turns)
         try:
             while True:
-                data = await self.stream.read_bytes(65_536, partial=True)
+                data = await reader.read()
                 job = self.job
                 if job is None:  # e.g. a worker that answers twice
                     error_text = "received bytes without an open request"
@@ -142,6 +145,7 @@
         self._waiting: list[_Job] = []
         self._client = TCPClient()
         self._tasks: set[asyncio.Task] = set()
+        self.read_turns = ReadTurns()
         self._loop = IOLoop.current()
 
     def start(self, act: ports.Start) -> None:
--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -11,6 +11,7 @@
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
+from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.fronts.trigger import Ran
 from swiftwell.interface import Status
 from swiftwell.sockets import RETRY_S, TcpStream, cause_of, is_local
@@ -24,6 +25,7 @@
 KEEP_ALIVE_TAG = b"alive"  # tag of keep-alive commands; no request id has this form
 # Ids remembered, some seconds' worth, so that a late answer is not taken for that of another attempt.
 MAX_KNOWN_IDS = 256
+MAX_UNSOLICITED_ANSWERS = 4 * MAX_KNOWN_IDS  # in a row; late and repeated ones are far fewer
 
 
 @dataclass(slots=True, eq=False)
@@ -65,6 +67,8 @@
 class Owner(Protocol):
     """The link, as its connections see it."""
 
+    read_turns: ReadTurns
+
     def connection_closed(self, connection: Connection, protocol_error: str, jobs: list[Job]) -> None:
         """A connection has ended with these jobs; `protocol_error` is set if it received invalid bytes."""
 
@@ -101,6 +105,7 @@
         self._output: list[tuple[bytes, Job | None]] = []  # bytes to be written, and the job they belong to
         self._blocked = False  # the kernel buffer is full: writing is tried again later
         self._close_requested = False
+        self._unsolicited_answers = 0  # since the last answer that a job waited for
         self._stream: TcpStream | None = None  # None until a socket could be created
         with suppress(OSError):
             self._stream = self._new_stream()
@@ -115,12 +120,9 @@
             self.connect_result.set_result(True)
             self.owner.connection_opened(self)
             self.owner.schedule_flush(self)
+            reader = FairReader(self._stream, READ_BYTES, self.owner.read_turns)
             while True:
-                data = await self._stream.read_bytes(READ_BYTES, partial=True)
-                self.last_received_s, self.suspect = time.monotonic(), False
-                for answer in self._parser.feed(data):
-                    self._answer(answer)
-                self._parser.check()
+                self._receive(await reader.read())
         except (OSError, TimeoutError, StreamClosedError) as error:
             self._record_failure(error)
         except RespError as error:
@@ -130,6 +132,13 @@
         finally:
             self._end(protocol_error)
 
+    def _receive(self, data: bytes) -> None:
+        """Process bytes from the worker; raises RespError if they, or what they end, can't be answers."""
+        self.last_received_s, self.suspect = time.monotonic(), False
+        for answer in self._parser.feed(data):
+            self._answer(answer)
+        self._parser.check()
+
     async def _connect(self, deadline_s: float) -> None:
         """Connect before `deadline_s`, monotonic.  Retries failures caused on this machine."""
         while True:
@@ -261,8 +270,12 @@
 
     def _answer(self, answer: Answer) -> None:
         job = self.jobs.get(answer[0])
-        if job is None:
-            return  # late, repeated or of an unknown id
+        if job is None:  # late, repeated or of an unknown id
+            self._unsolicited_answers += 1
+            if self._unsolicited_answers > MAX_UNSOLICITED_ANSWERS:
+                raise RespError(f"more than {MAX_UNSOLICITED_ANSWERS} answers to no request")
+            return
+        self._unsolicited_answers = 0
         job.on_answer(answer)
         del self.jobs[answer[0]]
         job.done, self.last_used_s = True, self.last_received_s
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from swiftwell.fair_reads import ReadTurns
 from swiftwell.fronts.trigger import Ran
 from swiftwell.gateway import ports
 from swiftwell.interface import Status
@@ -87,6 +88,7 @@
         self._orders: dict[int, Job] = {}
         self._unflushed: dict[Connection, None] = {}
         self._tasks: set[asyncio.Task] = set()
+        self.read_turns = ReadTurns()
         self.open, self._closed = 0, False
         self._credit = 0.0  # connections that may be opened although another one to the worker could be used
         self.counts = dict.fromkeys(("opened", "spoilt", "ended", "refused", "kept_alive"), 0)
--- a/tests/test_busy_peers.py
+++ b/tests/test_busy_peers.py
@@ -5,17 +5,34 @@
 """
 
 import asyncio
+import os
+import select
 import signal
 import socket
 import subprocess
 import sys
+import threading
+import time
 from contextlib import contextmanager
 from pathlib import Path
 
+import amqpbench
 import flooder
 import pytest
-from platformbench import HOST, Front, Worker, document, echo, fields, request, router, until
-from socketbench import run
+from platformbench import (
+    HOST,
+    Front,
+    Worker,
+    document,
+    echo,
+    fields,
+    frame,
+    request,
+    router,
+    until,
+    worker_reply,
+)
+from socketbench import gateway, run
 from test_endings import long_deadline_settings
 from test_platform import RouterProcess, id_
 
@@ -23,6 +40,9 @@
 from swiftwell.fronts.fastcgi.arrival import ArrivalClock
 from swiftwell.fronts.fastcgi.connection import READ_BYTES
 from swiftwell.fronts.fastcgi.session import MAX_FRUITLESS_SWEEPS, Session
+from swiftwell.fronts.mqtt import codec as mqtt
+from swiftwell.http.http1 import Response
+from swiftwell.http.server import Server
 
 REQUESTS = 40
 # Answered at each of their requests, for as long as they send.
@@ -150,3 +170,141 @@
         assert arrivals.ages_s(unconnected, 11.0, 0.5, left_behind=False)[1] == pytest.approx(0.1)
         arrivals.mark_empty(12.0)
         assert arrivals.ages_s(unconnected, 12.1, 0.5, left_behind=False)[1] == pytest.approx(0.1)
+
+
+class Flood:
+    """A thread that sends the same bytes on a connected socket without an end, and reads what comes back.
+
+    It stops by itself after `MAX_S`: an event loop that cannot run before that is `stuck`.
+    """
+
+    MAX_S = 15.0
+
+    def __init__(self, sock, data, chunk_bytes=300_000):
+        self._sock, self._data = sock, data * max(1, chunk_bytes // len(data))
+        self.bytes_sent, self.stuck, self._stop = 0, False, False
+        self._thread = threading.Thread(target=self._send, daemon=True)
+        self._thread.start()
+
+    def _send(self):
+        self._sock.setblocking(False)
+        end, rest = time.monotonic() + self.MAX_S, memoryview(self._data)
+        try:
+            while not self._stop:
+                if time.monotonic() > end:
+                    self.stuck = True
+                    return
+                readable, writable, _ = select.select([self._sock], [self._sock], [], 0.1)
+                if readable and not self._sock.recv(1 << 16):
+                    return
+                if writable:
+                    sent = self._sock.send(rest)
+                    self.bytes_sent += sent
+                    rest = rest[sent:] or memoryview(self._data)
+        except OSError:
+            pass
+
+    async def others_run(self):
+        """Wait until the flood is on, and then for iterations of the loop."""
+        while self.bytes_sent < 20_000 and not self.stuck:
+            await asyncio.sleep(0.005)
+        for _ in range(10):
+            await asyncio.sleep(0.005)
+        assert not self.stuck
+        self._stop = True
+        await asyncio.to_thread(self._thread.join)
+
+
+def flooding_server(data, greeting_bytes=0):
+    """A server that floods its first connection; returns its socket and the list that gets the flood."""
+    listening = socket.create_server((HOST, 0))
+    floods = []
+
+    def accept():
+        connected, _ = listening.accept()
+        connected.recv(max(1, greeting_bytes))
+        floods.append(Flood(connected, data))
+
+    threading.Thread(target=accept, daemon=True).start()
+    return listening, floods
+
+
+async def first(floods):
+    await until(lambda: floods)
+    return floods[0]
+
+
+def test_a_worker_that_answers_nobody_without_an_end_stops_nobody_and_is_left(tmp_path):
+    async def main():
+        listening, floods = flooding_server(worker_reply(b"f" * 16, b"DONE", b"-", b""))
+        async with (
+            router(tmp_path, [listening.getsockname()[1]]) as node,
+            Front(node.port) as front,
+            Front(node.port) as other,
+        ):
+            front.writer.write(request(1, fields(id_(1), wait="300")))
+            await first(floods)
+            assert (await other.ask(1, {"SCRIPT_NAME": "/-/healthy"}))[0] == 200
+            assert not floods[0].stuck
+            await until(lambda: node.link.counts["spoilt"])
+            assert "answers to no request" in node.lines.getvalue()
+        listening.close()
+
+    run(main())
+
+
+def test_a_journal_service_that_sends_without_an_end_stops_nobody(tmp_path):
+    async def main():
+        listening, floods = flooding_server(frame(1), 8)
+        async with (
+            Worker(echo) as worker,
+            router(tmp_path, [worker.port], journal=listening.getsockname()[1]) as node,
+            Front(node.port) as front,
+        ):
+            flood = await first(floods)
+            assert (await front.ask(1, fields(id_(1))))[0] == 200
+            await flood.others_run()
+        listening.close()
+
+    run(main())
+
+
+def test_a_client_of_the_http_server_that_asks_without_an_end_stops_nobody():
+    async def main():
+        async def handle(message, stream):
+            return Response(200, {}, b"fine")
+
+        server = Server(handle)
+        client = socket.create_connection((HOST, server.start_on(0)))
+        await Flood(client, b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").others_run()
+        client.close()
+        server.stop()
+
+    run(main())
+
+
+def test_an_mqtt_client_that_sends_without_an_end_stops_nobody(tmp_path):
+    async def main():
+        async with gateway(tmp_path) as gw:
+            client = socket.create_connection((HOST, gw.listener_port))
+            client.sendall(mqtt.encode(mqtt.Connect("busy"), mqtt.V5))
+            await until(lambda: gw.endpoint.clients)
+            await Flood(client, mqtt.encode(mqtt.Ping(mqtt.Type.PINGREQ), mqtt.V5)).others_run()
+            client.close()
+
+    run(main())
+
+
+def test_an_amqp_broker_that_sends_without_an_end_stops_nobody(tmp_path):
+    async def main():
+        async with amqpbench.broker() as server:
+            publisher = await amqpbench.Publisher().connect(server.port)
+            async with amqpbench.consuming(tmp_path, server.port, ()):
+                for connection in server.connections:
+                    heartbeat = b"\x08\0\0\0\0\0\0\xce"
+                    sock = socket.socket(fileno=os.dup(connection.stream.socket.fileno()))
+                    await Flood(sock, heartbeat).others_run()
+                    sock.close()
+            await publisher.client.close()
+
+    run(main())
