What is given up while it may still be on its way is dropped by a reset

Cause: `Connection.abandon` gave a written request up by a KILL behind it or by an orderly close. The kernel goes on delivering what it has taken, the request, the KILL and the end alike, and on a path that is cut off it does so once the path is back. Nothing bounded when that is, neither the memory of the workers nor the client's time. Only an answer proves that a request arrived.

Fix: `command_history` numbers the commands of a connection; an answer proves its own and all before it. A connection resets at its end, also at the end of the process, unless everything on it is known to have arrived. An abandoned request that is not known to have arrived costs a probe behind its KILL; without an answer within 60 ms the connection is reset, and its other written calls end as timed out, may have run. Meanwhile nothing new goes there. Only if the connection has been silent since and carries nothing else it is reset at once, where it was closed before. The HTTP link, with one call a connection, resets where it closed. Once a keyed call is repeated, all its attempts are given up 0.1 s before its window ends: the ledger's docstring has the rule.

The test of an attempt withdrawn beside a KILL starts that attempt before the KILL now: afterwards nothing new goes to the connection. `suspect` is `usable` now, by what has arrived.

--- a/swiftwell/gateway/calls.py
+++ b/swiftwell/gateway/calls.py
@@ -8,6 +8,9 @@
 from swiftwell.fronts.trigger import Ran, Trigger
 from swiftwell.interface import Effect
 
+# An attempt that is given up may still arrive for this long; a link drops it by then.
+MAX_ARRIVAL_DELAY_US = 100_000
+
 
 @dataclass(slots=True, eq=False)
 class Waiter:
@@ -66,5 +69,14 @@
         first_sent = next((attempt for attempt in self.attempts if attempt.ran is not Ran.NEVER), None)
         return first_sent.sent_us + self.request_class.memory_us if first_sent else 0
 
+    def give_up_by_us(self) -> int:
+        """Time by which all attempts of a keyed call that is repeated must be given up; 0 without one.
+
+        Workers drop repeats for a time from the first run on, which may be as early as the first attempt.  A
+        later attempt may wait on its way, and so may the first one while a repeat runs.
+        """
+        send_before_us = self.send_before_us()
+        return max(1, send_before_us - MAX_ARRIVAL_DELAY_US) if send_before_us else 0
+
     def has_attempts_in_flight(self) -> bool:
         return any(attempt.in_flight for attempt in self.attempts)
--- a/swiftwell/gateway/effects.py
+++ b/swiftwell/gateway/effects.py
@@ -4,6 +4,13 @@
 redelivery, publishers' retries and restarts.  `Ledger.claim` decides what a trigger that names a key may do;
 the shell makes each `Record` durable (gateway/journal.py) and reports when it is.
 
+Workers drop repeats of a keyed call for a window from its first run on, which may be as early as the
+hand-over of its first attempt that may have run.  So the window counts from that hand-over, and no attempt
+may arrive after it: a repeat is handed over before its end, and once there is one, every attempt of the call
+is given up `calls.MAX_ARRIVAL_DELAY_US` before it.  A link drops what is given up and not known to have
+arrived within that time, by a reset of its connection.  What a worker's own machine has taken and not read
+is out of reach.
+
 Times are wall-clock microseconds, as entries outlive the process.  If the clock is set back, entries look
 younger and are kept longer, which is the safe side.  The shell passes a clock anchored at its start, so that
 a step forward during a run makes no entry older; a step forward between two runs does, by its size.
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -760,6 +760,9 @@
         if number:
             self._log("info", "retry", request=call.trigger.key, number=number, worker=send.worker)
         deadline_us = min(send.deadline_us or call.deadline_us, call.deadline_us)
+        if give_up_by_us := call.give_up_by_us():
+            self._give_up_attempts_by(call, give_up_by_us)
+            deadline_us = min(deadline_us, give_up_by_us)
         attempt, send_before_us = (
             Attempt(send.worker, deadline_us=deadline_us, sent_us=self._now_us),
             call.send_before_us(),
@@ -783,6 +786,17 @@
             )
         )
 
+    def _give_up_attempts_by(self, call: Call, due_us: int) -> None:
+        """Bring the deadlines of a call's attempts in flight forward to `due_us`."""
+        for number, attempt in enumerate(call.attempts):
+            if attempt.in_flight and attempt.deadline_us > due_us:
+                self._timer_wheel.cancel(attempt.timer)
+                attempt.deadline_us = due_us
+                attempt.timer = self._timer_wheel.add(
+                    max(due_us, self._now_us + 1),
+                    lambda number=number: self._abandon(call, number, Status.TIMEOUT),
+                )
+
     def _abandon(self, call: Call | None, number: int, status: Status) -> None:
         if call and number < len(call.attempts) and call.attempts[number].in_flight:
             self._outputs.append(ports.Abandon(call.id, number, status))
--- a/swiftwell/sockets.py
+++ b/swiftwell/sockets.py
@@ -8,6 +8,8 @@
 
 import errno
 import socket
+from contextlib import suppress
+from struct import Struct
 from typing import Any
 
 from tornado.iostream import IOStream
@@ -30,6 +32,21 @@
 _PASSING_ERRORS = frozenset((errno.ENOBUFS, errno.ENOMEM))
 
 
+_LINGER = Struct("ii")  # struct linger: on or off, seconds
+
+
+def set_reset_on_close(stream: IOStream, on: bool) -> None:
+    """Whether the end of a connection, also by the end of the process, resets it.
+
+    Then both kernels drop what has not been delivered; after an orderly close they go on delivering it
+    (socket(7), SO_LINGER).
+    """
+    if stream.closed():
+        return
+    with suppress(OSError):  # the connection has ended
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(on, 0))
+
+
 def is_local(error: BaseException) -> bool:
     """Whether an error was caused on this machine, so that it says nothing about the peer."""
     return isinstance(error, OSError) and error.errno in LOCAL_ERRORS
--- a/swiftwell/workers/link.py
+++ b/swiftwell/workers/link.py
@@ -21,6 +21,7 @@
 from swiftwell.gateway import ports
 from swiftwell.http.http1 import BadMessage, MessageStarted, Parser, Response, TooLarge, encode
 from swiftwell.interface import Status
+from swiftwell.sockets import set_reset_on_close
 from swiftwell.workers import protocol
 
 READ_BYTES = 65_536  # per read
@@ -104,6 +105,7 @@
                     if not self.parser.rest_may_be_response:
                         raise BadMessage("the length of a response does not fit")
                     self.job = None
+                    set_reset_on_close(self.stream, False)
                     reuse = message.keep_alive and self.parser.idle
                     if reuse:
                         self.link.release(self)
@@ -367,6 +369,8 @@
         except (StreamClosedError, StreamBufferFullError):
             # No byte went to the kernel, as the stream knew that it was closed.  `read` ends the job.
             return
+        # A request that nobody waits for any more must not be delivered later, see `workers/resp/connection`.
+        set_reset_on_close(connection.stream, True)
         job.written = True
 
     def _cancel(self, job: _Job, status: Status) -> None:
--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -1,4 +1,9 @@
-"""One connection to a worker, which carries several requests at a time."""
+"""One connection to a worker, which carries several requests at a time.
+
+A request that nobody waits for any more must not run later.  Its bytes may still be on their way: after an
+orderly close the kernel goes on delivering them, for minutes on a path that is cut off.  So a connection is
+reset where a command is not known to have arrived, which makes both kernels drop it.
+"""
 
 from __future__ import annotations
 
@@ -14,17 +19,19 @@
 from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.fronts.trigger import Ran
 from swiftwell.interface import Status
-from swiftwell.sockets import RETRY_S, TcpStream, cause_of, is_local
+from swiftwell.sockets import RETRY_S, TcpStream, cause_of, is_local, set_reset_on_close
 from swiftwell.workers.resp import codec
 from swiftwell.workers.resp.codec import Answer, Parser, RespError
+from swiftwell.workers.resp.command_history import MAX_KNOWN_IDS, CommandHistory
 
 READ_BYTES = 16_384  # per read; an answer has some hundred bytes
 MAX_UNSENT_BYTES = 1 << 20  # buffered for a worker that does not read
 PERMISSION_VALID_S = 0.01  # then checked again; a loop iteration that is not delayed takes a few ms
 WRITE_RETRY_S = 0.01  # until a connection whose kernel buffer is full is tried again
-KEEP_ALIVE_TAG = b"alive"  # tag of keep-alive commands; no request id has this form
-# Ids remembered, some seconds' worth, so that a late answer is not taken for that of another attempt.
-MAX_KNOWN_IDS = 256
+# Within which a worker must show that an abandoned request arrived.  A request may begin at most 0.1 s after
+# its client has left.
+ARRIVAL_TIMEOUT_S = 0.06
+_PROBE_TAG = b"probe%d"  # tag of a command that only asks for an answer; no request id has this form
 MAX_UNSOLICITED_ANSWERS = 4 * MAX_KNOWN_IDS  # in a row; late and repeated ones are far fewer
 
 
@@ -64,6 +71,10 @@
         return self.delayed or self.queued_s < valid_since_s or not data
 
 
+# Bytes to be written, and what they belong to: a job, the tag of a probe, or nothing that is answered.
+_Output = tuple[bytes, Job | bytes | None]
+
+
 class Owner(Protocol):
     """The link, as its connections see it."""
 
@@ -93,8 +104,9 @@
     def __init__(self, owner: Owner, worker: str, address: tuple[str, int]) -> None:
         self.owner, self.worker, self.address = owner, worker, address
         self.jobs: dict[bytes, Job] = {}
-        self.known_ids: dict[bytes, None] = {}
-        self.established = self.closed = self.suspect = False
+        self.history = CommandHistory()
+        self.established = self.closed = False
+        self.silent = False  # it was reset, as an abandoned request did not turn out to have arrived
         self.failure, self.reset = "", False  # the socket error that ended it
         self.failed_locally = False  # it was not established for a reason on this machine
         # Result of connecting: true if established, or if nothing is known of the process at the address;
@@ -102,9 +114,10 @@
         self.connect_result: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self.last_used_s, self.last_received_s = time.monotonic(), 0.0
         self._parser = Parser()
-        self._output: list[tuple[bytes, Job | None]] = []  # bytes to be written, and the job they belong to
+        self._output: list[_Output] = []
         self._blocked = False  # the kernel buffer is full: writing is tried again later
         self._close_requested = False
+        self._probes = 0  # number of commands that only asked for an answer
         self._unsolicited_answers = 0  # since the last answer that a job waited for
         self._stream: TcpStream | None = None  # None until a socket could be created
         with suppress(OSError):
@@ -116,6 +129,7 @@
         try:
             await self._connect(time.monotonic() + connect_s)
             self._stream.set_nodelay(True)
+            set_reset_on_close(self._stream, True)
             self.established = True
             self.connect_result.set_result(True)
             self.owner.connection_opened(self)
@@ -134,7 +148,7 @@
 
     def _receive(self, data: bytes) -> None:
         """Process bytes from the worker; raises RespError if they, or what they end, can't be answers."""
-        self.last_received_s, self.suspect = time.monotonic(), False
+        self.last_received_s = time.monotonic()
         for answer in self._parser.feed(data):
             self._answer(answer)
         self._parser.check()
@@ -172,12 +186,7 @@
         job.connection = self
         self.last_used_s = job.queued_s = time.monotonic()
         self.jobs[job.id] = job
-        self.known_ids[job.id] = None
-        if len(self.known_ids) > MAX_KNOWN_IDS:
-            # Never an open id: a second attempt under it would replace the first one in `jobs`.
-            oldest = next((known_id for known_id in self.known_ids if known_id not in self.jobs), None)
-            if oldest is not None:
-                del self.known_ids[oldest]
+        self.history.add(job.id, self.jobs)
         job.delayed |= not self.established or self._blocked
         self._output.append((job.data, job))
         if self.established:
@@ -207,14 +216,17 @@
             return
         if sent < len(joined):
             self._keep_unsent(output, sent)
-        for data, job in output:
+        for data, owner in output:
             if sent <= 0:
                 break
             sent -= len(data)
-            if job is not None:
-                job.written, job.send_time.at_us = True, sent_us
+            if isinstance(owner, Job):
+                owner.written, owner.send_time.at_us = True, sent_us
+                self.history.written(owner.id)
+            elif owner is not None:
+                self.history.written(owner)
 
-    def _take_permitted(self) -> list[tuple[bytes, Job | None]]:
+    def _take_permitted(self) -> list[_Output]:
         """Take the output that may be sent now; jobs that may not are ended.
 
         This is the last check of the worker's state, on every path to the kernel.  While a connection was
@@ -227,7 +239,7 @@
         valid_since_s = now - PERMISSION_VALID_S
         may_send, reachable, permitted = self.owner.may_send(self), self.owner.address_is_current(self), []
         for data, job in queued:
-            if job is not None:
+            if isinstance(job, Job):
                 allowed = reachable if job.is_query else may_send
                 if not allowed:
                     data = b""
@@ -241,7 +253,7 @@
             permitted.append((data, job))
         return permitted
 
-    def _keep_unsent(self, output: list[tuple[bytes, Job | None]], sent: int) -> None:
+    def _keep_unsent(self, output: list[_Output], sent: int) -> None:
         """The kernel took only the first `sent` bytes: queue the rest again."""
         self._blocked = True
         cut, complete = sent, 0  # bytes sent of the command that is cut, and number of those sent whole
@@ -250,7 +262,7 @@
             complete += 1
         unsent = output[complete + (cut > 0) :]
         for _, job in unsent:
-            if job is not None:
+            if isinstance(job, Job):
                 job.delayed = True
         self._output = unsent + self._output
         if cut:
@@ -269,14 +281,14 @@
             self.owner.schedule_flush(self)
 
     def _answer(self, answer: Answer) -> None:
-        job = self.jobs.get(answer[0])
-        if job is None:  # late, repeated or of an unknown id
-            self._unsolicited_answers += 1
+        job, proves_arrival = self.jobs.get(answer[0]), self.history.answered(answer[0])
+        if job is None:  # of a probe, late, repeated or of an unknown id
+            self._unsolicited_answers += not proves_arrival
             if self._unsolicited_answers > MAX_UNSOLICITED_ANSWERS:
                 raise RespError(f"more than {MAX_UNSOLICITED_ANSWERS} answers to no request")
             return
         self._unsolicited_answers = 0
-        if swallowed := codec.swallowed_id(answer[3], self.known_ids):
+        if swallowed := codec.swallowed_id(answer[3], self.history):
             raise RespError(f"body that contains the answer to {swallowed!r}")
         job.on_answer(answer)
         del self.jobs[answer[0]]
@@ -285,27 +297,58 @@
     def keep_alive(self) -> None:
         """Make the worker answer, so that neither end closes the connection as unused."""
         self.last_used_s = time.monotonic()
-        self._output.append((codec.hello_command(KEEP_ALIVE_TAG), None))
+        self._probe()
+
+    def _probe(self) -> None:
+        """Send a command that only asks for an answer, which proves that all before it has arrived."""
+        self._probes += 1
+        tag = _PROBE_TAG % self._probes
+        self.history.add(tag, self.jobs)
+        self._output.append((codec.hello_command(tag), tag))
         self.owner.schedule_flush(self)
 
+    @property
+    def usable(self) -> bool:
+        """Whether new jobs may go here: it is open, and no abandoned request may still be on its way."""
+        return not self.closed and not self.history.lacks_required_arrival
+
     def abandon(self, job: Job) -> None:
-        """Stop waiting for a job: withdraw it if it is unwritten, else tell the worker."""
+        """Stop waiting for a job: withdraw it if it is unwritten, else tell the worker.
+
+        A written job that may still be on its way is dropped by a reset: at once if the connection has been
+        silent since and carries nothing else, else unless an answer shows in time that it arrived.
+        """
         del self.jobs[job.id]
         if not job.written:
             self._output = [entry for entry in self._output if entry[1] is not job]
             return
-        if self.last_received_s < job.started_s:
-            self.suspect = True  # nothing received since the job was sent: no new job goes here
-        if self.suspect and not self.jobs:
-            self.close()  # which also tells the worker
-        elif job.cancellable:
+        if self.history.has_arrived(job.id):
+            self._cancel(job)
+            return
+        sequence = self.history.require_arrival(job.id)
+        if self.last_received_s < job.started_s and not self.jobs:
+            self.close()
+            return
+        self._cancel(job)
+        self._probe()
+        asyncio.get_running_loop().call_later(ARRIVAL_TIMEOUT_S, self._reset_unless_arrived, sequence)
+
+    def _cancel(self, job: Job) -> None:
+        if job.cancellable:
             self._output.append((codec.kill_command(job.id), None))
             self.owner.schedule_flush(self)
 
+    def _reset_unless_arrived(self, sequence: int) -> None:
+        if not self.closed and not self.history.has_arrived_up_to(sequence):
+            self.silent = True
+            self.close()
+
     def close(self) -> None:
-        """Close the connection; `run` ends its jobs."""
+        """Close the connection; `run` ends its jobs.  What may still be on its way is dropped by a reset."""
         self._close_requested = True
-        if self._stream is not None:
+        if self._stream is not None and not self._stream.closed():
+            if self.history.all_arrived:
+                set_reset_on_close(self._stream, False)
             self._stream.close()
 
     def _end(self, protocol_error: str) -> None:
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -91,7 +91,7 @@
         self.read_turns = ReadTurns()
         self.open, self._closed = 0, False
         self._credit = 0.0  # connections that may be opened although another one to the worker could be used
-        self.counts = dict.fromkeys(("opened", "spoilt", "ended", "refused", "kept_alive"), 0)
+        self.counts = dict.fromkeys(("opened", "spoilt", "ended", "silent", "refused", "kept_alive"), 0)
 
     # Outputs of the engine.
 
@@ -235,12 +235,7 @@
         """
         address, best = self._address(job.worker), None
         for connection in worker.connections:
-            usable = (
-                not connection.closed
-                and not connection.suspect
-                and connection.address == address
-                and job.id not in connection.known_ids
-            )
+            usable = connection.usable and connection.address == address and job.id not in connection.history
             if (
                 usable
                 and len(connection.jobs) < self._bounds.streams
@@ -279,7 +274,7 @@
     def connection_closed(self, connection: Connection, protocol_error: str, jobs: list[Job]) -> None:
         """A connection has ended: end its jobs or move them to another connection."""
         self.open -= 1
-        self.counts["spoilt" if protocol_error else "ended"] += 1
+        self.counts["spoilt" if protocol_error else "silent" if connection.silent else "ended"] += 1
         if protocol_error:
             self._log("warning", "bad-answer", worker=connection.worker, why=protocol_error)
         self._unflushed.pop(connection, None)
@@ -295,10 +290,12 @@
         if self._closed:
             return
         if jobs:
-            reason = protocol_error or connection.failure
+            reason = protocol_error or ("silent" if connection.silent else connection.failure)
             self._log("info", "connection-ended", worker=connection.worker, why=reason, requests=len(jobs))
         if protocol_error:
             self._connection_lost(jobs, alive=True)
+        elif connection.silent:
+            self._connection_lost(jobs, alive=True, status=Status.TIMEOUT)
         elif connection.failed_locally:
             self._log("warning", "cannot-connect", worker=connection.worker, why=connection.failure)
             self._end_unsent(jobs)
@@ -331,8 +328,11 @@
             # If our limits allow no connection, nothing is known of the worker: it counts as alive.
             self._connection_lost(jobs, alive=address is not None)
 
-    def _connection_lost(self, jobs: list[Job], alive: bool) -> None:
-        """End the jobs of a lost connection; one that is unwritten goes to another connection, once."""
+    def _connection_lost(self, jobs: list[Job], alive: bool, status: Status = Status.ERROR) -> None:
+        """End the jobs of a lost connection; one that is unwritten goes to another connection, once.
+
+        `status`: of the written ones, if the worker's process lives.
+        """
         for job in jobs:
             if job.done:  # abandoned meanwhile
                 continue
@@ -342,7 +342,7 @@
                 continue
             job.done = True
             if job.written:
-                job.on_end(Status.ERROR if alive else Status.RESET, Ran.MAYBE)
+                job.on_end(status if alive else Status.RESET, Ran.MAYBE)
             else:
                 job.on_end(Status.MOOT if alive else Status.CONNECT_FAILED, Ran.NEVER)
 
@@ -403,9 +403,7 @@
                     connection is not kept
                     and connection.last_used_s < now - IDLE_CLOSE_SHARE * self._bounds.idle_s
                 )
-                if not connection.jobs and (
-                    stale or connection.suspect or worker.removed or connection.address != address
-                ):
+                if not connection.jobs and (stale or worker.removed or connection.address != address):
                     connection.close()
             if address is None and not worker.connections:
                 del self._workers[name]  # created by a job that was dispatched after the worker had left
@@ -416,9 +414,7 @@
     def _keep_alive(self, worker: _Worker, now: float) -> Connection | None:
         """Choose the connection of a worker that is kept, and send a keep-alive on it if it is idle."""
         established = [
-            connection
-            for connection in worker.connections
-            if connection.established and not connection.closed and not connection.suspect
+            connection for connection in worker.connections if connection.established and connection.usable
         ]
         kept = max(
             established, key=lambda connection: (len(connection.jobs), connection.last_used_s), default=None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -45,7 +45,7 @@
 from swiftwell.gateway import ports
 from swiftwell.gateway.orders import Order
 from swiftwell.interface import Status
-from swiftwell.workers.resp import connection as rc
+from swiftwell.workers.resp import command_history
 
 
 def long_deadline_settings(dial_ms=8_000.0, deadline_ms=6_000.0, **more):
@@ -851,7 +851,7 @@
 
 
 def test_an_open_id_is_never_forgotten_on_its_connection(monkeypatch):
-    monkeypatch.setattr(rc, "MAX_KNOWN_IDS", 4)
+    monkeypatch.setattr(command_history, "MAX_KNOWN_IDS", 4)
 
     async def main():
         async def holds_one(worker, writer, arguments):
@@ -865,7 +865,7 @@
                 harness.start(f"c{number}", id_=id_(number))
                 await harness.ends(number)
             (connection,) = harness.link._workers["w"].connections
-            assert ID.encode() in connection.known_ids and len(connection.known_ids) <= 5
+            assert ID.encode() in connection.history and len(connection.history) <= 5
             harness.start("c0", id_=ID, number=1)  # a second attempt, which must not share the connection
             await harness.ends(9)
             assert (harness.results[-1].status, harness.results[-1].ran) == (Status.MOOT, Ran.NEVER)
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -329,9 +329,11 @@
             harness.start("c1")
             await until(lambda: worker.got)
             await asyncio.sleep(0.05)
-            harness.link.abandon(ports.Abandon("c1", 0, Status.TIMEOUT))  # its KILL waits for the flush
+            # Before the abandonment, after which nothing new goes to the connection until its probe is
+            # answered.
             trigger = Trigger("1/2", None, "lectura", "acme", "f", "0" * 16, b"x", 1_000_000)
             harness.link.start(ports.Start("c2", 0, "w", trigger, 1_000_000))
+            harness.link.abandon(ports.Abandon("c1", 0, Status.TIMEOUT))  # its KILL waits for the flush
             harness.link.abandon(ports.Abandon("c2", 0, Status.CANCELLED))
             harness.link.flush()
             assert await harness.ends(2) == [(Status.TIMEOUT, Ran.MAYBE), (Status.MOOT, Ran.NEVER)]
@@ -357,7 +359,7 @@
             assert await harness.ends() == [(Status.ERROR, Ran.MAYBE)]
             judged = harness.link._workers["w"].liveness_check
             assert judged.established and not judged.closed
-            judged.suspect = True  # the next request gets a connection of its own
+            judged.history._must_arrive = 1_000  # the next request gets a connection of its own
             harness.start("c2", id_="0" * 16)
             await harness.ends(2)
             assert (harness.results[1].status, harness.results[1].ran) == (Status.RESET, Ran.MAYBE)
@@ -428,7 +430,7 @@
                 harness.start(f"c{number}", id_=f"{number:016x}")
                 await harness.ends(number + 1)
             (open_connection,) = harness.link._workers["w"].connections
-            assert len(open_connection.known_ids) == connection.MAX_KNOWN_IDS and not open_connection.jobs
+            assert len(open_connection.history) == connection.MAX_KNOWN_IDS and not open_connection.jobs
 
     run(main())
 
