Ports of tests, stand-ins and scale runs stay reserved until their end

Cause: router processes of tests and scale runs chose a port, closed it and bound it later. In between the kernel gives it to a stand-in that binds port 0. A stand-in that stops listening for a fault had given its port back as well.

Fix: `ReservedPort` keeps a bound socket that doesn't listen; a listener may share it, the kernel gives it to nobody else, and connections are refused meanwhile. The outage soak has no fixed ports any more. The UDP ports of members are still found free and closed: a datagram socket can't be shared like this.

--- a/benchmarks/call_cost.py
+++ b/benchmarks/call_cost.py
@@ -19,7 +19,8 @@
 from pathlib import Path
 
 from swiftwell.scale.hollow_ends import HOST, FrontServer, configuration, serve_worker
-from swiftwell.scale.real_router import RouterProcess, connect_when_ready, free_port
+from swiftwell.scale.real_router import RouterProcess, connect_when_ready
+from swiftwell.standins.ports import ReservedPort
 
 CONNECTIONS, OPEN_EACH = 4, 8
 ROUTER_CPU = 1  # core reserved for the router
@@ -28,7 +29,8 @@
 
 async def _run_once(root: str, seconds: float) -> dict[str, object]:
     worker = await asyncio.start_server(serve_worker, HOST, 0)
-    port = free_port()
+    reserved = ReservedPort()
+    port = reserved.number
     router = RouterProcess(configuration(port, worker.sockets[0].getsockname()[1]), root, ROUTER_CPU)
     try:
         (await connect_when_ready(port)).close()
@@ -42,6 +44,7 @@
             front.close()
     finally:
         router.end()
+        reserved.close()
         worker.close()
     times.sort()
     return {
--- a/benchmarks/connection_flood.py
+++ b/benchmarks/connection_flood.py
@@ -22,7 +22,8 @@
 from pathlib import Path
 
 from swiftwell.scale.hollow_ends import DEADLINE_S, HOST, FrontServer, configuration, serve_worker
-from swiftwell.scale.real_router import RouterProcess, connect_when_ready, free_port
+from swiftwell.scale.real_router import RouterProcess, connect_when_ready
+from swiftwell.standins.ports import ReservedPort
 
 CALLS = 60  # requests per second of the steady client: the load of a busy router of a large fleet
 NEW_EVERY = 4  # every fourth request uses a new connection
@@ -78,7 +79,8 @@
 
 async def _run_once(root: str, rate: float, seconds: float) -> dict:
     worker = await asyncio.start_server(serve_worker, HOST, 0)
-    port = free_port()
+    reserved = ReservedPort()
+    port = reserved.number
     config = configuration(port, worker.sockets[0].getsockname()[1])
     router = RouterProcess(config, root, ROUTER_CPU)
     try:
@@ -86,6 +88,7 @@
         return await _measure(router, port, rate, seconds) | {"root": root, "rate": rate}
     finally:
         router.end()
+        reserved.close()
         worker.close()
 
 
--- a/swiftwell/scale/real_router.py
+++ b/swiftwell/scale/real_router.py
@@ -6,7 +6,6 @@
 import json
 import os
 import random
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,6 +18,7 @@
 from swiftwell.scale import hollow_ends as stand_ins
 from swiftwell.scale.cases import ListCase
 from swiftwell.scale.popularity import Popularity
+from swiftwell.standins.ports import ReservedPort
 
 READY_S = 30.0  # time within which a router must serve its first request
 SETTLE_S = 1.0  # pause between its first request and the measurement
@@ -40,13 +40,6 @@
     descriptors: int
 
 
-def free_port() -> int:
-    """Return a loopback port that was free when checked."""
-    with socket.socket() as free:
-        free.bind((stand_ins.HOST, 0))
-        return free.getsockname()[1]
-
-
 class RouterProcess:
     """A process of `python -m swiftwell.platform`, run from the checkout `root`."""
 
@@ -95,7 +88,8 @@
     worker_port = worker.sockets[0].getsockname()[1]
     service = stand_ins.JournalService(case.workers, case.changes_per_s, worker_port)
     journal = await asyncio.start_server(service.serve, stand_ins.HOST, 0)
-    port = free_port()
+    reserved = ReservedPort()
+    port = reserved.number
     configuration = stand_ins.configuration(
         port, worker_port, journal.sockets[0].getsockname()[1], case.workers, 1_400
     )
@@ -108,6 +102,7 @@
         return await _measure(case, router, front, service, start_s)
     finally:
         router.end()
+        reserved.close()
         worker.close()
         journal.close()
 
--- a/swiftwell/standins/amqp.py
+++ b/swiftwell/standins/amqp.py
@@ -23,6 +23,7 @@
 from swiftwell.fronts.amqp.codec import AmqpError, Code, Method, Properties
 from swiftwell.fronts.amqp.wire import Incoming, Wire
 from swiftwell.proof.trace import Trace
+from swiftwell.standins.ports import ReservedPort
 
 FRAME_MAX = 131_072
 HEARTBEAT_S = 60
@@ -145,6 +146,7 @@
         self.trace, self._users, self._heartbeat_s = trace, users, heartbeat_s
         self._server = _Server(self)
         self._port = 0
+        self._reserved: ReservedPort | None = None
         self.exchanges: dict[str, tuple[str, bool]] = {}  # (type, durable)
         # By source exchange: ("queue" or "exchange", name, routing key).
         self.bindings: dict[str, list[tuple[str, str, str]]] = {}
@@ -160,6 +162,9 @@
 
     def start(self, port: int = 0) -> int:
         """Starts listening and returns the port."""
+        if not port:
+            self._reserved = ReservedPort()  # it listens there again after some faults
+            port = self._reserved.number
         self._server.listen(port, "127.0.0.1", backlog=1_024)
         self._port = next(iter(self._server._sockets.values())).getsockname()[1]
         IOLoop.current().call_later(0.2, self._sweep)
--- a/swiftwell/standins/broker.py
+++ b/swiftwell/standins/broker.py
@@ -37,6 +37,7 @@
 from swiftwell.fronts.mqtt.connection import Connection
 from swiftwell.fronts.mqtt.session import Session, handshake_window
 from swiftwell.proof.trace import Trace
+from swiftwell.standins.ports import ReservedPort
 
 RECEIVE_MAXIMUM = 1_000
 MAX_WAITING = 50_000  # messages queued for one client
@@ -73,12 +74,16 @@
         self._connections: set[Connection] = set()
         self._server = _Server(self)
         self._port = 0
+        self._reserved: ReservedPort | None = None
         self._next_member: dict[str, int] = {}
         self._fault_ends_at: dict[str, float] = {}
         self._sweeper: object = None
 
     def start(self, port: int = 0) -> int:
         """Starts listening and returns the port."""
+        if not port:
+            self._reserved = ReservedPort()  # it listens there again after some faults
+            port = self._reserved.number
         self._server.listen(port, "127.0.0.1", backlog=1_024)
         self._port = next(iter(self._server._sockets.values())).getsockname()[1]
         IOLoop.current().call_later(0.5, self._sweep)
--- a/swiftwell/standins/listing.py
+++ b/swiftwell/standins/listing.py
@@ -14,6 +14,7 @@
 from swiftwell.http.http1 import Request, Response, encode
 from swiftwell.http.server import Server
 from swiftwell.proof.trace import Trace
+from swiftwell.standins.ports import ReservedPort
 
 
 class Listing:
@@ -29,9 +30,13 @@
         self._fault_ends_at: dict[str, float] = {}
         self.server = Server(self._handle_request)
         self._port = 0
+        self._reserved: ReservedPort | None = None
 
     def start(self, port: int = 0) -> int:
         """Starts listening and returns the port."""
+        if not port:
+            self._reserved = ReservedPort()  # it listens there again after some faults
+            port = self._reserved.number
         self._port = self.server.start_on(port)
         return self._port
 
--- a/swiftwell/standins/worker.py
+++ b/swiftwell/standins/worker.py
@@ -27,6 +27,7 @@
     Machine,
     Work,
 )
+from swiftwell.standins.ports import ReservedPort
 
 FOREVER_S = 3_600.0
 WARM_UPTIME_MS = 172_800_000.0  # uptime that a server reports which is warm from the start: two days
@@ -56,6 +57,7 @@
         self.model = CalcServer(machine, _now_us(), cold=not warm, keys=keys)
         self.started_ms = time.time() * 1e3 - (WARM_UPTIME_MS if warm else 0)
         self._server: Server | None = None
+        self._reserved: ReservedPort | None = None
         self.name, self._port = "", 0
         self._call_futures: dict[Work, asyncio.Future[str]] = {}
         self._order_futures: dict[str, list[asyncio.Future[bool]]] = {}
@@ -72,6 +74,9 @@
     def start(self, port: int = 0) -> int:
         """Starts listening and returns the port."""
         self._server = Server(self._handle_request, on_open=self._on_connection_open)
+        if not port:
+            self._reserved = ReservedPort()  # it listens there again after some faults
+            port = self._reserved.number
         self._port = self._server.start_on(port)
         self.name = f"127.0.0.1:{self._port}"
         return self._port
--- a/tests/outagebench.py
+++ b/tests/outagebench.py
@@ -5,12 +5,9 @@
 """
 
 import asyncio
-import itertools
 import json
-import os
 import random
 import signal
-import socket
 import statistics
 import time
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
@@ -20,6 +17,8 @@
 from test_platform import RouterProcess, id_
 from test_soak import CpuWaits, Lag
 
+from swiftwell.standins.ports import ReservedPort
+
 GRACE_S = 0.5
 SOCKETS_S = 0.05  # by which the protocol extends every limit on sockets
 BREAK_S, STOP_S = 2.0, 4.0  # until missed updates of a broken, a stopped list count as delivered
@@ -31,20 +30,6 @@
 STOPS = ("silent", "trickle", "ahead", "repeats", "moved")
 
 
-# Ports outside the range of outgoing connections, so that they are free again after a restart.  Each test
-# process has its own range.
-PORTS = itertools.count(12_000 + 2_000 * int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]))
-
-
-def free_port():
-    """A port that is in use nowhere else."""
-    while True:
-        port = next(PORTS)
-        with socket.socket() as free, suppress(OSError):
-            free.bind((HOST, port))
-            return port
-
-
 @dataclass
 class Arrival:
     """One command that reached a worker."""
@@ -58,7 +43,8 @@
     """A worker that loads functions on demand; while it drains it rejects everything new."""
 
     def __init__(self, number, random_, work_s=0.02):
-        self.number, self.random, self.work_s, self.port = number, random_, work_s, free_port()
+        self.number, self.random, self.work_s, self.reserved = number, random_, work_s, ReservedPort()
+        self.port = self.reserved.number
         self.id = f"s-{number:08x}"
         self.copies, self.arrivals = {}, []
         self.ran = []  # calls that must not run twice
@@ -94,6 +80,7 @@
 
     async def close(self):
         self._server.close()
+        self.reserved.close()
         for task in list(self._tasks):
             task.cancel()
         for writer in list(self._writers):
@@ -164,7 +151,8 @@
     """
 
     def __init__(self):
-        self.port, self.mode, self.events, self.records = free_port(), "well", [], []
+        self.reserved, self.mode, self.events, self.records = ReservedPort(), "well", [], []
+        self.port = self.reserved.number
         self._server, self._writers, self._tasks = None, set(), set()
 
     @property
@@ -192,6 +180,7 @@
 
     async def close(self):
         self._server.close()
+        self.reserved.close()
         for task in self._tasks:
             task.cancel()
         for writer in list(self._writers):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -33,6 +33,7 @@
 from swiftwell.fronts.fastcgi import listener as lis
 from swiftwell.fronts.fastcgi.pending import MAX_SILENT_SWEEPS
 from swiftwell.platform.limits import RESERVED_DESCRIPTORS, divide_descriptors
+from swiftwell.standins.ports import ReservedPort
 
 
 def id_(number):
@@ -385,9 +386,8 @@
     """A router process."""
 
     def __init__(self, folder, configuration):
-        with socket.socket() as free:
-            free.bind((HOST, 0))
-            self.port = free.getsockname()[1]
+        self.reserved = ReservedPort()  # until the end: the router may be started again
+        self.port = self.reserved.number
         self.file = folder / "config.json"
         self.file.write_text(json.dumps(configuration | {"listen": f"{HOST}:{self.port}"}))
         self.start()
@@ -405,6 +405,7 @@
             self.process.kill()
         self.process.wait()
         self.process.stderr.close()
+        self.reserved.close()
 
     async def up(self):
         for _ in range(1_000):
