A log that can't be written stops nothing: lines are dropped and counted

Seen: `python -m swiftwell.platform` with its standard error in a pipe whose reader has ended was still there 20 minutes after SIGTERM, also after a second one.

Cause: `Node.stop` set `stopping` and then wrote a log line; the BrokenPipeError left the signal handler before the shutdown had begun, and a second SIGTERM found `stopping` set. With a stopped reader the write waits in the kernel, and with it the event loop. With standard error closed, a socket gets its number and libuv ends the process (exit -6) when it closes it.

Fix: `LogOutput` writes to the descriptor only what it takes at once, at most PIPE_BUF bytes at a time, and counts what it can't write (`lines_dropped` in the figures, swiftwell_log_lines_dropped in the metrics). It goes past the stream's buffer, which would try again at the process's end. Closed standard descriptors are opened on /dev/null before anything else.

The stand-ins' answers on standard output are as before.

--- a/swiftwell/__main__.py
+++ b/swiftwell/__main__.py
@@ -1,5 +1,9 @@
 """`python -m swiftwell`."""
 
-from swiftwell.cli.main import main
+from swiftwell.gateway import standard_descriptors
+
+standard_descriptors.open_closed()
+
+from swiftwell.cli.main import main  # noqa: E402
 
 main()
--- a/swiftwell/gateway/logs.py
+++ b/swiftwell/gateway/logs.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from swiftwell.gateway.log_output import LogOutput
+
 WINDOW_S = 10.0  # window over which the lines of each kind are counted
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}  # as in the standard library
 Line = Callable[[str, str, dict[str, object]], None]
@@ -29,7 +31,13 @@
         self._max_per_kind = per_kind
         self._counts: dict[str, int] = {}
         self._window_start = time.monotonic()
-        self._write_line = (_json if form == "json" else _console)(out or sys.stderr)
+        self._output = LogOutput(out or sys.stderr)
+        self._write_line = (_json if form == "json" else _console)(self._output)
+
+    @property
+    def dropped_lines(self) -> int:
+        """Lines that were lost because their reader is gone or does not read, or the disk is full."""
+        return self._output.dropped
 
     def write(self, level: str, event: str, **fields: object) -> None:
         """Write a line, unless its kind has reached its limit in this window."""
@@ -52,7 +60,7 @@
         self._counts, self._window_start = {}, now
 
 
-def _json(out: TextIO) -> Line:
+def _json(out: LogOutput) -> Line:
     """Write lines as JSON objects, without structlog, whose import takes a twentieth of a router's start."""
     encoder = msgspec.json.Encoder(enc_hook=repr)
 
@@ -60,12 +68,11 @@
         at = datetime.now(UTC).isoformat().replace("+00:00", "Z")
         entry = fields | {"event": event, "level": level, "timestamp": at}
         out.write(encoder.encode(entry).decode() + "\n")
-        out.flush()
 
     return line
 
 
-def _console(out: TextIO) -> Line:
+def _console(out: LogOutput) -> Line:
     import structlog
 
     stamp = structlog.processors.TimeStamper(fmt="iso")
--- a/swiftwell/gateway/metrics.py
+++ b/swiftwell/gateway/metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from swiftwell.gateway.engine import Engine
+from swiftwell.gateway.logs import Logs
 
 
 class MetricsSource(Protocol):
@@ -18,6 +19,7 @@
 
     replies: dict[tuple[str, str, str], int]
     engine: Engine
+    logs: Logs
 
     def sizes(self) -> dict[str, int]: ...
 
@@ -38,7 +40,9 @@
         sizes = GaugeMetricFamily("swiftwell_size", "entries in a table", labels=["table"])
         for name, size in self._source.sizes().items():
             sizes.add_metric([name], size)
-        return [replies, events, sizes]
+        dropped = CounterMetricFamily("swiftwell_log_lines_dropped", "log lines that could not be written")
+        dropped.add_metric([], self._source.logs.dropped_lines)
+        return [replies, events, sizes, dropped]
 
 
 def page(source: MetricsSource) -> bytes:
--- a/swiftwell/platform/__main__.py
+++ b/swiftwell/platform/__main__.py
@@ -13,6 +13,10 @@
 for _number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
     signal.signal(_number, lambda number, frame: EARLY_SIGNALS.append(number))
 
+from swiftwell.gateway import standard_descriptors  # noqa: E402
+
+standard_descriptors.open_closed()
+
 from swiftwell.platform.node import main  # noqa: E402
 
 if __name__ == "__main__":
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -262,7 +262,7 @@
         self.log(
             "info", "figures", lag_ms=round(self._loop_lag.take_max_delay_s() * 1e3, 1),
             cpu_s=round(time.process_time(), 2), memory_mb=_memory_mb(),
-            descriptors=_descriptors(), clients=len(front.connections),
+            descriptors=_descriptors(), lines_dropped=self.logs.dropped_lines, clients=len(front.connections),
             replies=replies, turned=dict(front.rejections.most_common(8)), front=dict(front.counts),
             link=dict(self.link.counts), sizes=tables(self.engine) | self.link.sizes(),
             counts=dict(self.engine.counts), ends=dict(self.engine.outcomes),
