--- a/review/standins2.py
+++ b/review/standins2.py
@@ -434,6 +434,13 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    def stop(self) -> None:
+        """The service is down: it refuses connections, and the open ones end."""
+        self.record.add("journal", up=0)
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     @staticmethod
     def _frame(number: int, kind: int, endpoints: list[dict]) -> bytes:
         payload = b""
