--- a/review/9/flood.py
+++ b/review/9/flood.py
@@ -1,9 +1,9 @@
-"""Bad clients: each connection sends 32 requests at once, and the same again as soon as they are answered."""
+"""Bad clients: requests with fields that can't be used and without an end, 32 at once on each connection."""
 
 from __future__ import annotations
 
 import asyncio
-import os
+import struct
 import sys
 from pathlib import Path
 
@@ -12,10 +12,21 @@
 import standins2 as sb
 
 AT_ONCE = 32  # open requests on a connection, at most
+FIELDS = 2_740  # with names of two bytes and no values: 11 KB
+
+
+def request(number: int) -> bytes:
+    """A request whose fields mean nothing; its body begins and does not end."""
+    names = (struct.pack(">BBH", 2, 0, name) for name in range(FIELDS))
+    parts = (sb.fcgi(sb.PARAMS, number, b"".join(names)), sb.fcgi(sb.PARAMS, number))
+    return b"".join((sb.fcgi_begin(number), *parts, sb.fcgi(sb.STDIN, number, b"endless")))
+
+
+ALL = b"".join(request(number) for number in range(1, AT_ONCE + 1))
 
 
 async def client(port: int) -> None:
-    """One bad client.  It holds one connection at a time, and reads what is sent to it."""
+    """One bad client: the same again as soon as all of it was turned away.  It reads what is sent to it."""
     while True:
         try:
             reader, writer = await asyncio.open_connection(sb.HOST, port)
@@ -23,12 +34,8 @@
             await asyncio.sleep(0.05)
             continue
         try:
-            writer.write(sb.fcgi_request(1, {"SCRIPT_NAME": "/-/healthy"}))  # see case 6
-            await reader.read(4_096)
             while True:
-                for number in range(1, AT_ONCE + 1):
-                    fields = sb.fields_of(os.urandom(8).hex(), "lectura", 2_500)
-                    writer.write(sb.fcgi_request(number, fields))
+                writer.write(ALL)
                 ends = 0
                 while ends < AT_ONCE:
                     data = await reader.read(65_536)
