--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,7 +12,7 @@
 
 import standins2 as sb
 
-MEMORY_MB = 192  # "On scored days the limits are at most 192 MB and 1,024 descriptors"
+MEMORY_MB = 128  # "32 to 192 MB depending on language and day"
 BAD, USUAL = 32, 8  # connections, of the 341 that clients may hold
 CALM_S, FLOOD_S = 1.5, 30.0
 LOOK_S = 0.05
