--- a/review/10/case.py
+++ b/review/10/case.py
@@ -37,7 +37,12 @@
             if self.client is None or self.client.closed.is_set():
                 if self.client is not None:
                     await self.client.__aexit__()
-                self.client = await sb.Client(self.port).__aenter__()
+                    self.client = None
+                try:
+                    self.client = await sb.Client(self.port).__aenter__()
+                except OSError:
+                    await asyncio.sleep(0.05)
+                    continue
                 await self.client.ask("", path="/-/healthy", limit_s=LOST_S)  # see case 6
             began = time.monotonic()
             self.record.add("sent", id=id_, bytes=BODY_BYTES)
@@ -84,6 +89,8 @@
         if router.process.returncode is not None:
             return "the router ended"
     finally:
+        for client in usual:
+            client.stopped = True
         for process in bad:
             process.kill()
             await process.wait()
