Figures: how many connections wait until their bytes are processed, and for how long

Beside a flood of requests nothing told why usual ones were late. The line 'figures' has 'reads' now: connections that wait for a turn, the longest wait since the line before, turns granted; and 'turned' counts requests that were rejected because they stayed incomplete for 2 s.

--- a/swiftwell/fair_reads.py
+++ b/swiftwell/fair_reads.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -23,6 +24,17 @@
 
     def __init__(self) -> None:
         self._waiting: deque[asyncio.Future[None]] = deque()
+        self.granted = 0
+        self._longest_wait_s = 0.0
+
+    def __len__(self) -> int:
+        """Number of connections that wait for a turn."""
+        return len(self._waiting)
+
+    def take_longest_wait_s(self) -> float:
+        """The longest wait for a turn since the last call."""
+        longest_wait_s, self._longest_wait_s = self._longest_wait_s, 0.0
+        return longest_wait_s
 
     async def wait(self) -> None:
         """Wait for a turn, which comes in a later iteration of the event loop."""
@@ -31,7 +43,10 @@
         if not self._waiting:
             loop.call_soon(self._grant)
         self._waiting.append(turn)
+        began_s = time.monotonic()
         await turn
+        self.granted += 1
+        self._longest_wait_s = max(self._longest_wait_s, time.monotonic() - began_s)
 
     def _grant(self) -> None:
         while self._waiting:
--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -320,7 +320,10 @@
     def sweep(self) -> None:
         """Reject requests that stay incomplete and close the connection if it is broken or silent."""
         self.silent_sweeps += 1
+        timed_out_before = self.session.timed_out
         self.session.sweep()
+        if timed_out := self.session.timed_out - timed_out_before:
+            self._listener.rejections["408 request incomplete"] += timed_out
         if self.session.output:
             self._listener.schedule_flush(self)
         # A connection without a request yet is closed only if idle: its first request may be half read.
--- a/swiftwell/fronts/fastcgi/session.py
+++ b/swiftwell/fronts/fastcgi/session.py
@@ -73,6 +73,7 @@
         self.output: list[bytes] = []
         self.broken = ""
         self.had_request = False  # a complete request has arrived
+        self.timed_out = 0  # requests rejected as they stayed incomplete
         self._stalled_sweeps = 0
         self._fruitless_sweeps = 0
         self._had_records = self._had_progress = False  # since the last sweep
@@ -234,6 +235,7 @@
             for request in list(self._incomplete.values()):
                 request.sweeps += 1
                 if request.sweeps > MAX_INCOMPLETE_SWEEPS:
+                    self.timed_out += 1
                     self.reject(request.number, 408)
         except FastcgiError as error:
             self.broken = str(error)
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -277,11 +277,21 @@
             descriptors=_descriptors(), lines_dropped=self.logs.dropped_lines, clients=len(front.connections),
             replies=replies, failures=dict(self.failures.counts),
             turned=dict(front.rejections.most_common(8)), front=dict(front.counts),
+            reads=self._read_figures(),
             link=dict(self.link.counts), sizes=tables(self.engine) | self.link.sizes(),
             counts=dict(self.engine.counts), ends=dict(self.engine.outcomes),
             held=self.journal.sequence.last_number, asked=self.journal.connections, list=self._list_figures(),
         )  # fmt: skip
 
+    def _read_figures(self) -> dict[str, object]:
+        """How many connections wait until their bytes are processed, and for how long at most they did."""
+        turns = self.front.read_turns
+        return {
+            "waiting": len(turns),
+            "longest_wait_ms": round(turns.take_longest_wait_s() * 1e3, 1),
+            "turns": turns.granted,
+        }
+
     def _list_figures(self) -> dict[str, object]:
         """The age of the worker list, and the numbers of workers by their leases."""
         now_us, staleness = self.clock.now_us(), self._staleness
--- a/tests/floodbench.py
+++ b/tests/floodbench.py
@@ -209,7 +209,7 @@
                 args.half_core,
                 args.new,
                 args.connections,
-            )  # fmt: skip
+            )
         )
     print(json.dumps(vars(args) | play.summary()))
 
--- a/tests/request_flooder.py
+++ b/tests/request_flooder.py
@@ -10,7 +10,7 @@
 import sys
 import threading
 
-from platformbench import HOST, fields, params, request
+from platformbench import HOST, fields, request
 
 from swiftwell.fronts.fastcgi import codec
 
