Clients share the event loop by work, and what can't be served is refused before it costs a call

Cause: turns were counted in reads. A body of 16 KB takes five reads, so five turns of up to 2.7 s, and its 408 counted the time that its bytes lay in the kernel.

While bytes wait for longer than a tenth of the shortest target, the number of open calls falls and is shared equally by the clients (fronts/overload); what is over it is refused without the gateway. Bytes that wait here or in the kernel don't count against an incomplete request, and count in full against a request's time. Before an attempt is written, what its client has sent meanwhile is processed out of turn, so that a withdrawal is not passed by. At a close, what has arrived is answered with a refusal.

--- a/swiftwell/fronts/fastcgi/arrival.py
+++ b/swiftwell/fronts/fastcgi/arrival.py
@@ -60,6 +60,10 @@
         """The connection has no unread bytes."""
         self._empty_s, self._backlogged = now_s, False
 
+    def mark_left_behind(self) -> None:
+        """Nothing is read from now on: what arrives waits for the next read, however often the loop polls."""
+        self._backlogged = True
+
     def ages_s(
         self, connected: socket.socket, now_s: float, unseen_s: float, left_behind: bool
     ) -> tuple[float, float]:
--- a/swiftwell/fronts/fastcgi/codec.py
+++ b/swiftwell/fronts/fastcgi/codec.py
@@ -39,45 +39,58 @@
     """
 
     def __init__(self, max_content: int = MAX_CONTENT_BYTES) -> None:
-        self._buffer = b""
+        self._buffer, self._at = _EMPTY, 0  # bytes that are not decoded yet begin there
         self._max_content = max_content
         self._skipped_bytes = 0  # still to come of a record of which nothing more is kept
 
     @property
     def partial(self) -> bool:
-        """Whether a record is incomplete."""
-        return bool(self._buffer or self._skipped_bytes)
+        """Whether bytes are left that belong to no record given out: after the last one, it is incomplete."""
+        return self._at < len(self._buffer) or self._skipped_bytes > 0
 
     @property
     def buffered_bytes(self) -> int:
         """Size of what is buffered."""
         return len(self._buffer)
 
+    def receive(self, data: bytes) -> None:
+        """Take further bytes of the stream; `next_record` decodes them."""
+        self._buffer = self._buffer[self._at :] + data if self._at < len(self._buffer) else data
+        self._at = 0
+
+    def next_record(self) -> Record | None:
+        """The next record if it is complete; raises FastcgiError on an unsupported version."""
+        end = len(self._buffer)
+        at = self._at
+        if self._skipped_bytes:
+            skipped_bytes = min(self._skipped_bytes, end - at)
+            self._skipped_bytes -= skipped_bytes
+            self._at = at = at + skipped_bytes
+        if end - at < HEADER_BYTES:
+            return None
+        version, kind, number, length, padding = _RECORD_HEADER.unpack_from(self._buffer, at)
+        if version != VERSION:
+            raise FastcgiError(f"unsupported version {version}")
+        body = at + HEADER_BYTES
+        after = body + length + padding
+        if after > end:
+            if length <= self._max_content or end - body < self._max_content:
+                return None
+            length, self._skipped_bytes = self._max_content, after - end
+            after = end
+        elif length > self._max_content:
+            length = self._max_content
+        content = self._buffer[body : body + length]
+        if after < end:
+            self._at = after
+        else:
+            self._buffer, self._at = _EMPTY, 0
+        return kind, number, content
+
     def feed(self, data: bytes) -> list[Record]:
-        """The records that are now complete; raises FastcgiError on an unsupported version."""
-        if self._buffer:
-            data = self._buffer + data
-        decoded: list[Record] = []
-        end = len(data)
-        at = min(self._skipped_bytes, end)
-        self._skipped_bytes -= at
-        while end - at >= HEADER_BYTES:
-            version, kind, number, length, padding = _RECORD_HEADER.unpack_from(data, at)
-            if version != VERSION:
-                raise FastcgiError(f"unsupported version {version}")
-            body = at + HEADER_BYTES
-            after = body + length + padding
-            if after > end:
-                if length <= self._max_content or end - body < self._max_content:
-                    break
-                length, self._skipped_bytes = self._max_content, after - end
-                after = end
-            elif length > self._max_content:
-                length = self._max_content
-            decoded.append((kind, number, data[body : body + length]))
-            at = after
-        self._buffer = data[at:] if at < end else _EMPTY
-        return decoded
+        """Take further bytes; returns the records that are now complete."""
+        self.receive(data)
+        return list(iter(self.next_record, None))
 
 
 def record(kind: int, number: int, content: bytes) -> bytes:
--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -8,30 +8,55 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import fcntl
 import socket
+import struct
+import termios
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 
-from swiftwell.fair_reads import FairReader, ReadTurns
 from swiftwell.fronts.fastcgi import request as rq
 from swiftwell.fronts.fastcgi.arrival import ArrivalClock
 from swiftwell.fronts.fastcgi.pending import MAX_SILENT_SWEEPS
-from swiftwell.fronts.fastcgi.session import Event, RequestAborted, RequestReceived, Session, response_head
+from swiftwell.fronts.fastcgi.session import (
+    MAX_BODY_BYTES,
+    MAX_OPEN_REQUESTS,
+    Event,
+    RequestAborted,
+    RequestReceived,
+    Session,
+    response_head,
+)
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.memory_budget import MemoryBudget
+from swiftwell.fronts.overload import OverloadControl
 from swiftwell.fronts.trigger import TOO_MANY, Answer, Kind, Trigger
+from swiftwell.sockets import TcpStream
+from swiftwell.work_scheduler import WORK_PER_TURN, Participant, WorkScheduler
 
 CALL_BYTES = 6_000  # memory of an open request without its body: in the gateway, the module and the link
 BODY_COPIES = 2  # of an open request: as received, and as written to a worker
 READ_BYTES = 4_096  # per read, which may hold 128 requests without parameters
+# Costs in units of `work_scheduler`: of a connection's opening, a read, a request that is answered without
+# the gateway, one that becomes a call, and the end of an open call before its answer.
+OPENING_COST, READ_COST, REQUEST_COST, CALL_COST, WITHDRAWAL_COST = 4, 1, 1, 5, 2
 MAX_UNSENT_UNDER_PRESSURE_BYTES = 16_384  # of a client that holds the most: about one answer
 MAX_RECORD_UNDER_PRESSURE_BYTES = 4_096  # likewise, of a record that is incomplete
 MAX_UNSENT_BYTES = 1 << 20  # beyond this a client counts as not reading; the output of one flush comes on top
+# What a client has sent is processed out of turn if it has waited for so long when a call of that client is
+# about to be sent to a worker: one that has left may be served for 0.1 s.
+READ_AHEAD_AFTER_S = 0.03
+# Then, and before a close, at most all that a client may have open is processed, in reads of a part each.
+CLOSING_COST = MAX_OPEN_REQUESTS * (REQUEST_COST + READ_COST * (1 + MAX_BODY_BYTES // READ_BYTES))
+READ_AHEAD_COST = CLOSING_COST + MAX_OPEN_REQUESTS * (CALL_COST + WITHDRAWAL_COST)
+_END = object()  # of the events of a read
+_FIONREAD_RESULT = struct.Struct("i")
 REFUSAL_STATUS = {TOO_MANY: 429}  # HTTP status of a refusal by its reason; 503 for all others
 
 
@@ -44,7 +69,8 @@
     draining: bool
     open_ids: set[str]
     rejections: Counter[str]
-    read_turns: ReadTurns
+    scheduler: WorkScheduler
+    overload: OverloadControl
     memory: MemoryBudget[Connection]
 
     def unseen_s(self) -> float:
@@ -81,34 +107,35 @@
     number: int
 
 
-class Connection:
+class Connection(Participant):
     """One connection and its session.
 
-    `arrivals`: the clock of its bytes.  `left_behind`: the read of its first bytes may have left others in
-    the kernel.
+    `arrivals`: the clock of its bytes.
     """
 
-    def __init__(
-        self,
-        listener: Owner,
-        stream: IOStream,
-        number: int,
-        arrivals: ArrivalClock,
-        left_behind: bool = False,
-    ) -> None:
+    def __init__(self, listener: Owner, stream: TcpStream, number: int, arrivals: ArrivalClock) -> None:
+        super().__init__()
         self._listener, self.stream, self.name = listener, stream, number
         self.session = Session()
         self._arrivals = arrivals
-        mark_empty = lambda: arrivals.mark_empty(time.monotonic())  # noqa: E731
-        self._reader = FairReader(stream, READ_BYTES, listener.read_turns, mark_empty, left_behind)
+        # At most one read is complete and not passed to the session, and at most one is being processed.
+        self._reading: asyncio.Future[bytes] | None = None
+        self._reads = 0  # that were started
+        self._events: Iterator[Event | None] | None = None  # of the read that is being processed
+        self._newest_arrived_s = self._others_arrived_s = 0.0  # when its bytes had arrived, monotonic
+        self._last_read_s = 0.0  # monotonic
+        self._left_behind = False  # it may have left bytes in the kernel
+        self._processed: asyncio.Future[None] | None = None  # set once that read is processed
         self.triggers: dict[int, Trigger] = {}
         self._calls_bytes = 0  # memory of the open requests
         self._unsent_bytes = 0  # passed to the stream and not taken by the kernel yet
         self.silent_sweeps = 0  # since the connection was opened, or since its last request or response
         self._output: list[bytes] = []
         self._close_requested = False  # the client asked for the close after an answered request
+        self._refusing = False  # requests are refused, as the connection is about to close
         self.finishing = False  # no further request is taken
         self._writing: asyncio.Future[None] | None = None
+        listener.scheduler.enter(self, OPENING_COST)
 
     @property
     def idle(self) -> bool:
@@ -117,19 +144,36 @@
         Every path that closes a connection checks this.  Checking only the session lost responses that were
         queued or half written, and requests that were read and not processed yet.
         """
-        return self.session.idle and not (self._unprocessed_read or self._output or self.stream.writing())
+        return self.session.idle and not (self._has_unprocessed or self._output or self.stream.writing())
 
     @property
-    def _unprocessed_read(self) -> bool:
-        """Whether `run` has something to process: a completed read, or bytes that wait for their turn."""
-        return self._reader.has_unprocessed or self._reader.waits_for_turn
+    def has_work(self) -> bool:
+        """Whether a read is to be processed."""
+        return self._events is not None
+
+    @property
+    def _waits_for_bytes(self) -> bool:
+        """Whether all that was there at the last read is processed."""
+        return self._reading is not None and not self._reading.done()
+
+    @property
+    def _has_unprocessed(self) -> bool:
+        """Whether there are bytes to process: of a read, or in the kernel, which will be read next."""
+        return self._events is not None or not self._waits_for_bytes
 
     async def run(self) -> None:
         """Serve until the connection ends."""
         try:
             while True:
-                data = await self._reader.read()
-                if not self.finishing:  # else read only so that nothing is unread at the close
+                if self._events is not None:
+                    self._processed = asyncio.get_running_loop().create_future()
+                    await self._processed
+                if self._reading is None:
+                    self._start_read()
+                number = self._reads
+                data = await self._reading  # type: ignore[misc]
+                if self._reading is not None and self._reads == number:  # else it was processed already
+                    self._reading = None
                     self.receive(data, len(data) >= READ_BYTES)
         except (OSError, StreamClosedError):
             pass
@@ -137,39 +181,139 @@
             # The exception of the last read refers to this frame, so keeping it would form a reference cycle;
             # thousands of these per minute caused full garbage collections of 0.15 s, in which no response
             # was sent.
-            self._reader.close()
+            self._reading = None
             self.stream.close()
             self._listener.connection_ended(self)
 
+    def _start_read(self) -> None:
+        """Begin to read; raises StreamClosedError if the connection has ended."""
+        self._reads += 1
+        self._reading = self.stream.read_bytes(READ_BYTES, partial=True)
+        if self._waits_for_bytes:
+            self._arrivals.mark_empty(time.monotonic())
+
     def receive(self, data: bytes, left_behind: bool) -> None:
-        """Process bytes from the client.  `left_behind`: the kernel may hold bytes that came after them."""
+        """Take bytes from the client, which are processed in turns.
+
+        `left_behind`: the kernel may hold bytes that came after them.
+        """
+        self._begin_events(data, left_behind)
+        self._listener.scheduler.submit(self)
+        if self.is_queued:
+            self._arrivals.mark_left_behind()
+            self._listener.account(self)
+
+    def _begin_events(self, data: bytes, left_behind: bool) -> None:
+        now_s = time.monotonic()
         newest_s, others_s = self._arrivals.ages_s(
-            self.stream.socket, time.monotonic(), self._listener.unseen_s(), left_behind
+            self.stream.socket, now_s, self._listener.unseen_s(), left_behind
         )
+        self._last_read_s = now_s
+        self._newest_arrived_s, self._others_arrived_s = now_s - newest_s, now_s - others_s
+        self._left_behind = left_behind
+        # What comes once the connection closes is read only so that nothing is unread at the close.
+        self._events = iter(()) if self.finishing else self.session.events(data)
+
+    def take_turn(self) -> int:
+        """Process bytes that have arrived, for about the cost of a turn; returns the cost."""
+        cost = self._process(WORK_PER_TURN)
+        if self._events is not None:
+            self._arrivals.mark_left_behind()
+        return round(cost)
+
+    def read_ahead(self) -> None:
+        """Process all that the client has sent by now, out of turn, also what waits in the kernel.
+
+        Before something is done on behalf of a client that may have withdrawn it, or have left, while its
+        bytes waited for their turn.
+        """
+        waited_s = time.monotonic() - self._last_read_s
+        if self._has_unprocessed and waited_s > READ_AHEAD_AFTER_S and not self.stream.closed():
+            self._listener.scheduler.charge(self, round(self._process(READ_AHEAD_COST)))
+
+    def _process(self, max_cost: float) -> float:
+        """Process bytes that have arrived, until this has cost so much; returns the cost."""
+        cost = 0.0
         try:
-            for event in self.session.events(data):
-                newest = isinstance(event, RequestReceived) and event.newest and not left_behind
-                self._handle(event, newest_s if newest else others_s)
+            if self._events is None:
+                self._begin_next_read()
+            while cost < max_cost and self._events is not None:
+                event = next(self._events, _END)
+                if event is _END:
+                    self._begin_next_read()
+                    cost += READ_COST
+                elif event is not None:
+                    cost += self._handle(event)
+                cost += self.session.take_cost()
+                if self.stream.closed():
+                    self._drop_events()
         except Exception as error:  # what follows in the stream can't be told
             self._listener.host.record_failure("client-records", error)
             self.session.broken = "records that could not be processed"
+            self._drop_events()
         self.silent_sweeps = 0 if self.session.had_request else self.silent_sweeps
         self._listener.account(self)
         if self.session.broken:
             self.finish()
         elif self.session.output:
             self.send(b"")
+        return cost
 
-    def _handle(self, event: Event, age_s: float) -> None:
-        """Handle one event; an unexpected error concerns its request only."""
+    def _begin_next_read(self) -> None:
+        """Go on with bytes that have arrived since the last read, if there are any."""
+        if data := self._read_at_once():
+            self._begin_events(data, len(data) >= READ_BYTES)
+        else:
+            self._drop_events()
+
+    def _drop_events(self) -> None:
+        """Nothing is being processed any more."""
+        self._events = None
+        self._listener.scheduler.discard(self)
+        if self._processed is not None and not self._processed.done():
+            self._processed.set_result(None)
+
+    def _read_at_once(self) -> bytes:
+        """Further bytes that have arrived, if any.  If the client has left, the connection ends."""
+        if self._reading is None:
+            with contextlib.suppress(StreamClosedError):
+                self._start_read()
+        if self.stream.closed():
+            self._listener.connection_ended(self)
+        return self._take_completed_read()
+
+    def _completed_read(self) -> bytes:
+        """The bytes that `run` is about to get, if any."""
+        reading = self._reading
+        if reading is None or not reading.done() or reading.cancelled() or reading.exception():
+            return b""
+        return reading.result()
+
+    def _take_completed_read(self) -> bytes:
+        """Like `_completed_read`, and `run` does not get them."""
+        if data := self._completed_read():
+            self._reading = None
+        return data
+
+    def _unread_bytes(self) -> int:
+        """Size of what the client has sent and is not passed to the session yet."""
+        completed_bytes = len(self._completed_read()) + self.stream.buffered_bytes
         try:
-            if isinstance(event, RequestReceived):
-                self._request_received(event, age_s)
-            elif isinstance(event, RequestAborted):
-                self._request_aborted(event.number)
+            result = fcntl.ioctl(self.stream.socket, termios.FIONREAD, bytes(_FIONREAD_RESULT.size))
+        except OSError:
+            return completed_bytes
+        return completed_bytes + _FIONREAD_RESULT.unpack(result)[0]
+
+    def _handle(self, event: Event) -> int:
+        """Handle one event and return its cost; an unexpected error concerns its request only."""
+        try:
+            if isinstance(event, RequestAborted):
+                return self._request_aborted(event.number)
+            return self._request_received(event)
         except Exception as error:
             self._listener.host.record_failure(f"client-{type(event).__name__.lower()}", error)
             self._answer_failed(event.number)
+        return CALL_COST
 
     def _answer_failed(self, number: int) -> None:
         """Give a request whose handling failed its one answer: a refusal if the gateway never got it."""
@@ -177,40 +321,73 @@
         self._withdraw(number)
         self.answer(number, response_head(status))
 
-    def _request_received(self, event: RequestReceived, age_s: float) -> None:
-        """Handle a whole request whose last byte arrived `age_s` ago."""
+    def _request_received(self, event: RequestReceived) -> int:
+        """Handle a whole request; returns the cost."""
         listener, number = self._listener, event.number
         listener.mark_used(self)
-        path = rq.path(event.fields)
-        if path == rq.HEALTH:
+        if rq.path(event.fields) == rq.HEALTH:
             self.answer(number, response_head(200 if listener.healthy() else 503))
-            return
+            return REQUEST_COST
+        if refusal := self._early_refusal(event):
+            listener.rejections[f"503 {refusal}"] += 1
+            self.answer(number, response_head(503, listener.contract.retry_after_ms))
+            return REQUEST_COST
         try:
-            trigger = rq.read(
-                event.fields,
-                event.body,
-                listener.contract,
-                f"{self.name}/{number}",
-                Ref((self,), number),
-                age_us=int(age_s * 1e6),
-            )
-            if trigger.key in listener.open_ids:
-                raise rq.Rejected(409, "Req-Id is open")
-            if not listener.memory.may_add(self, _call_bytes(trigger)):
-                raise rq.Rejected(503, "no memory for the request")
+            trigger = self._read_trigger(event)
         except rq.Rejected as error:
             listener.rejections[f"{error.status} {error}"] += 1
             self.answer(number, response_head(error.status))
-            return
+            return REQUEST_COST
         listener.open_ids.add(trigger.key)
         self.triggers[number] = trigger
         self._calls_bytes += _call_bytes(trigger)
         listener.host.submit(trigger)
+        return CALL_COST
+
+    def _early_refusal(self, event: RequestReceived) -> str:
+        """Why a request is refused before it costs the gateway a call; "" if it isn't.
 
-    def _request_aborted(self, number: int) -> None:
+        Never under the id of an open request, which may run: a refusal would deny that.
+        """
+        listener = self._listener
+        if rq.is_open(event.fields, listener.open_ids):
+            return ""
+        if self._refusing or listener.draining:
+            return "closing"
+        if not listener.overload.admits(len(self.triggers), len(listener.memory)):
+            return "overloaded"
+        return ""
+
+    def _read_trigger(self, event: RequestReceived) -> Trigger:
+        """The trigger of a request; raises Rejected if it is invalid or there is no room for it."""
+        listener, number = self._listener, event.number
+        newest = event.newest and not self._left_behind
+        arrived_s = self._newest_arrived_s if newest else self._others_arrived_s
+        trigger = rq.read(
+            event.fields,
+            event.body,
+            listener.contract,
+            f"{self.name}/{number}",
+            Ref((self,), number),
+            age_us=int((time.monotonic() - arrived_s) * 1e6),
+        )
+        if trigger.key in listener.open_ids:
+            raise rq.Rejected(409, "Req-Id is open")
+        if not listener.memory.may_add(self, _call_bytes(trigger)):
+            raise rq.Rejected(503, "no memory for the request")
+        return trigger
+
+    def _request_aborted(self, number: int) -> int:
         """The client has aborted a request: it gets no response, but END_REQUEST frees its number."""
+        cost = WITHDRAWAL_COST if number in self.triggers else REQUEST_COST
         self._withdraw(number)
         self.answer(number, b"")
+        return cost
+
+    def still_waits(self, trigger: Trigger) -> bool:
+        """Whether the client waits for the answer to a trigger, by all that it has sent by now."""
+        self.read_ahead()
+        return self.triggers.get(trigger.ref.number) is trigger  # type: ignore[attr-defined]
 
     def _withdraw(self, number: int) -> None:
         """Tell the gateway that a request's client can no longer be answered."""
@@ -305,7 +482,7 @@
         if self._unsent_bytes > MAX_UNSENT_UNDER_PRESSURE_BYTES:
             self._listener.log("client-does-not-read", connection=self.name)
             self.stream.close()
-        elif self.session.held_bytes > MAX_RECORD_UNDER_PRESSURE_BYTES:
+        elif self._events is None and self.session.held_bytes > MAX_RECORD_UNDER_PRESSURE_BYTES:
             self.session.discard("record incomplete while memory is short")
             self.finish()
         elif self.session.output:
@@ -314,14 +491,14 @@
     @property
     def _finish_when_idle(self) -> bool:
         """Whether the client asked for the close, or the router drains, and only open responses remain."""
-        drained = self._listener.draining and self.session.had_request and not self._unprocessed_read
+        drained = self._listener.draining and self.session.had_request and not self._has_unprocessed
         return self._close_requested or drained
 
     def sweep(self) -> None:
         """Reject requests that stay incomplete and close the connection if it is broken or silent."""
         self.silent_sweeps += 1
         timed_out_before = self.session.timed_out
-        self.session.sweep()
+        self.session.sweep(self._unread_bytes() if self.session.is_incomplete else 0)
         if timed_out := self.session.timed_out - timed_out_before:
             self._listener.rejections["408 request incomplete"] += timed_out
         if self.session.output:
@@ -338,13 +515,13 @@
         Open requests first get their one response, status 502: they were taken, their outcome is unknown, and
         the connection can carry no later response.
         """
-        if self.finishing or self.stream.closed():
+        if self._refusing or self.stream.closed():
+            return
+        self._refusing = True
+        if self._has_unprocessed:
+            self._process(CLOSING_COST)  # requests that have arrived must be answered as well
+        if self.finishing or self.stream.closed():  # they broke the connection, or the client has left
             return
-        if data := self._reader.take_unprocessed():
-            # Requests that have been read must be answered as well.
-            self.receive(data, len(data) >= READ_BYTES)
-            if self.finishing:  # these bytes broke the connection, which has called `finish`
-                return
         self.finishing = True
         for number in list(self.triggers):
             self._withdraw(number)
@@ -368,6 +545,7 @@
 
     def close(self) -> None:
         """The connection has ended: its open requests can no longer be answered."""
+        self._drop_events()
         for number in list(self.triggers):
             self._withdraw(number)
 
--- a/swiftwell/fronts/fastcgi/listener.py
+++ b/swiftwell/fronts/fastcgi/listener.py
@@ -17,7 +17,6 @@
 
 from tornado.ioloop import PeriodicCallback
 
-from swiftwell.fair_reads import ReadTurns
 from swiftwell.fronts.fastcgi import request as rq
 from swiftwell.fronts.fastcgi.acceptor import Acceptor
 from swiftwell.fronts.fastcgi.arrival import ArrivalClock
@@ -25,7 +24,9 @@
 from swiftwell.fronts.fastcgi.pending import FIRST_READ_BYTES, PendingConnections, reject
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.memory_budget import MemoryBudget
+from swiftwell.fronts.overload import WAIT_SHARE, OverloadControl
 from swiftwell.sockets import TcpStream
+from swiftwell.work_scheduler import WorkScheduler
 
 COUNTS = ("accepted", "evicted", "refused", "broken", "exhausted", "gave_way")
 DEFAULT_MEMORY_BYTES = 64_000_000  # that clients may hold together
@@ -57,7 +58,8 @@
         self.host, self.contract, self.healthy = host, contract, healthy
         self.max_connections = max_connections
         self.unseen_s = unseen_s
-        self.read_turns = ReadTurns()
+        self.scheduler = WorkScheduler(self._note_wait, host.record_failure)
+        self.overload = OverloadControl(WAIT_SHARE * contract.shortest_target_us / 1e6)
         self.memory: MemoryBudget[Connection] = MemoryBudget(memory_bytes)
         self._withdrawn_bytes = [0, 0]  # of requests withdrawn since the last sweep, and in the one before
         self.port = 0  # set by `open`
@@ -99,15 +101,18 @@
         with contextlib.suppress(OSError):  # the client has reset it; the next read tells
             connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = TcpStream(connected, max_buffer_size=2 * READ_BYTES, read_chunk_size=READ_BYTES)
-        left_behind = len(data) >= FIRST_READ_BYTES
-        connection = Connection(self, stream, next(self._numbers), arrivals, left_behind)
+        connection = Connection(self, stream, next(self._numbers), arrivals)
         self.connections[connection] = None
         # `run` starts before the engine processes these bytes, so that an end of the connection which arrived
         # with them withdraws their requests.
         task = asyncio.ensure_future(connection.run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection.receive(data, left_behind)
+        connection.receive(data, len(data) >= FIRST_READ_BYTES)
+
+    def _note_wait(self, waited_s: float, others_wait: bool) -> None:
+        """A connection's bytes are processed now, after waiting for their turn."""
+        self.overload.note_wait(time.monotonic(), waited_s, others_wait, len(self.open_ids), len(self.memory))
 
     def _exhausted(self) -> None:
         """The process is out of descriptors: free one that a client holds."""
@@ -185,6 +190,7 @@
             self.connections.pop(connection, None)
             self.closing.pop(connection, None)
             self._unflushed.pop(connection, None)
+            self.scheduler.discard(connection)
             connection.close()
             self.memory.update(connection, 0)
             if connection.session.broken:
--- a/swiftwell/fronts/fastcgi/request.py
+++ b/swiftwell/fronts/fastcgi/request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from swiftwell import interface as io
@@ -14,6 +14,8 @@
 MAX_WAIT_DEADLINES = 4.0  # longest client wait, in deadlines of its class; no proper client waits longer
 MAX_COST_MS = 600_000.0  # of a work hint; deadlines are a few seconds
 MAX_LOAD_MS = 600_000.0  # of a load hint, likewise
+RETRY_AFTER_MS = 100  # after an early refusal: the interval in which overload is judged
+DEFAULT_TARGET_US = 1_000_000  # where the settings give no class
 MAX_LANES = 64  # of a function; machines have a few cores
 MAX_MEMORY_MB = 1_048_576.0  # where the settings give no machine
 _TOKEN = re.compile(rb"[0-9A-Za-z._-]{1,64}").fullmatch  # sent to workers unquoted: no field separators
@@ -37,6 +39,8 @@
     deadlines_us: dict[str, int]
     tenants: frozenset[str]
     memory_mb: float
+    shortest_target_us: int = DEFAULT_TARGET_US  # of a class
+    retry_after_ms: int = 0  # that clients are to stay away after a refusal for lack of time; 0: not said
 
     @staticmethod
     def of(settings: io.Settings) -> Contract:
@@ -45,6 +49,8 @@
             {request_class.name: request_class.deadline_us for request_class in settings.classes},
             frozenset(tenant.name for tenant in settings.tenants),
             max((memory for _, memory in settings.kind_memory_mb), default=MAX_MEMORY_MB),
+            min((c.target_us for c in settings.classes), default=DEFAULT_TARGET_US),
+            min(RETRY_AFTER_MS, settings.max_retry_after_us // 1_000) if settings.retry_after else 0,
         )
 
 
@@ -53,6 +59,11 @@
     return fields.get(b"SCRIPT_NAME", b"")
 
 
+def is_open(fields: dict[bytes, bytes], open_ids: Container[str]) -> bool:
+    """Whether a request has the id of an open one."""
+    return fields.get(b"HTTP_REQ_ID", b"").decode("latin-1") in open_ids
+
+
 def _number(
     name: str, text: bytes | None, minimum: float, maximum: float, default: float | None = None
 ) -> float:
--- a/swiftwell/fronts/fastcgi/session.py
+++ b/swiftwell/fronts/fastcgi/session.py
@@ -22,6 +22,8 @@
 MAX_OPEN_REQUESTS = 32  # on a connection; limit set by the platform
 MAX_REJECTED = 64  # rejected numbers whose further records are ignored; no proper client has more
 MAX_INCOMPLETE_SWEEPS = 8  # of the listener, for a request: 2 s
+RECORD_COST = 1 / 16  # units of `work_scheduler`, of one record
+PARAMS_BYTE_COST = 1 / 512  # units, of decoding params: 40 pairs without values cost one unit
 MAX_FRUITLESS_SWEEPS = 8  # of the listener, with records that belong to no request: 2 s
 
 
@@ -35,6 +37,7 @@
     params_ended: bool = False
     body: bytearray = field(default_factory=bytearray)
     sweeps: int = 0
+    rejected_after_bytes: int = -1  # of the connection, if it is still incomplete then; -1: not yet overdue
 
     @property
     def held_bytes(self) -> int:
@@ -79,33 +82,47 @@
         self._had_records = self._had_progress = False  # since the last sweep
         self._ended_params: list[IncompleteRequest] = []  # whose params ended in the current read
         self._newest = True  # the current record is the last one of its read
+        self._received_bytes = self._processed_bytes = 0  # passed to `events`, and processed by it
+        self.cost = 0.0  # of the records since the last `take_cost`
 
     def receive(self, data: bytes) -> list[Event]:
         """All events of received bytes; none once `broken`."""
-        return list(self.events(data))
+        return [event for event in self.events(data) if event is not None]
 
-    def events(self, data: bytes) -> Iterator[Event]:
+    def events(self, data: bytes) -> Iterator[Event | None]:
         """Like `receive`, but yields each event before the next record is processed.
 
         An ABORT and a BEGIN that reuses its number may arrive in one read.  The number is free only once the
         abort has been answered; else the connection would count as broken, and all its open requests fail.
+        Yields None where records without an event have cost one unit, so that the caller may pause there.
         """
         if self.broken:
             return
+        self._received_bytes += len(data)
         try:
-            records = self._decoder.feed(data)
-            if records or not self._decoder.partial:
+            self._decoder.receive(data)
+            while record := self._decoder.next_record():
                 self._stalled_sweeps = 0  # bytes alone are no progress: a record may trickle in without end
-            self._had_records |= bool(records)
-            for position, (kind, number, content) in enumerate(records, 1):
+                self._had_records = True
                 events: list[Event] = []
-                self._newest = position == len(records) and not self._decoder.partial
-                self._record(kind, number, content, events)
+                self._newest = not self._decoder.partial
+                self.cost += RECORD_COST
+                self._record(*record, events)
                 self._had_progress |= bool(events)
                 yield from events
+                if self.cost >= 1:
+                    yield None
+            if not self._decoder.partial:
+                self._stalled_sweeps = 0
             self._check_ended_params()
         except FastcgiError as error:
             self.broken = str(error)
+        self._processed_bytes = self._received_bytes
+
+    def take_cost(self) -> float:
+        """The cost of the records that were processed since the last call, in units of `work_scheduler`."""
+        cost, self.cost = self.cost, 0.0
+        return cost
 
     def _check_ended_params(self) -> None:
         """Check params whose request does not end with them in one read.
@@ -116,7 +133,11 @@
         ended, self._ended_params = self._ended_params, []
         for request in ended:
             if self._incomplete.get(request.number) is request:
-                codec.pairs(bytes(request.params))
+                self._pairs(request)
+
+    def _pairs(self, request: IncompleteRequest) -> dict[bytes, bytes]:
+        self.cost += len(request.params) * PARAMS_BYTE_COST
+        return codec.pairs(bytes(request.params))
 
     def _record(self, kind: int, number: int, content: bytes, events: list[Event]) -> None:
         if number == 0:
@@ -178,7 +199,7 @@
         elif not request.params_ended:
             raise FastcgiError("end of the body before the end of the params")
         else:
-            fields = codec.pairs(bytes(request.params))
+            fields = self._pairs(request)
             del self._incomplete[request.number]
             self.open[request.number] = request.keep_connection
             self.had_request = True
@@ -197,6 +218,7 @@
     def discard(self, reason: str) -> None:
         """Give the byte stream up, with what is buffered of it."""
         self._decoder, self.broken = Decoder(MAX_RECORD_BYTES), reason
+        self._processed_bytes = self._received_bytes
 
     @property
     def held_bytes(self) -> int:
@@ -229,21 +251,34 @@
             return b""
         return codec.response(number, content)
 
-    def sweep(self) -> None:
-        """Called periodically: rejects requests that stay incomplete for too long."""
+    def sweep(self, unread_bytes: int = 0) -> None:
+        """Called periodically: rejects requests that stay incomplete for too long.
+
+        `unread_bytes`: that have arrived and were not passed to `events` yet.  They may complete a request,
+        so one that is overdue is rejected only once they are processed.
+        """
         try:
-            for request in list(self._incomplete.values()):
-                request.sweeps += 1
-                if request.sweeps > MAX_INCOMPLETE_SWEEPS:
-                    self.timed_out += 1
-                    self.reject(request.number, 408)
+            self._sweep_incomplete(unread_bytes)
         except FastcgiError as error:
             self.broken = str(error)
-        if self._decoder.partial:
+        is_waiting = unread_bytes > 0 or self._processed_bytes < self._received_bytes
+        if self._decoder.partial and not is_waiting:
             self._stalled_sweeps += 1
             if self._stalled_sweeps > MAX_INCOMPLETE_SWEEPS:
                 self.broken = "record incomplete for too long"
-        self._sweep_fruitless()
+        if self._had_records or not is_waiting:
+            self._sweep_fruitless()
+
+    def _sweep_incomplete(self, unread_bytes: int) -> None:
+        for request in list(self._incomplete.values()):
+            request.sweeps += 1
+            if request.sweeps <= MAX_INCOMPLETE_SWEEPS:
+                continue
+            if request.rejected_after_bytes < 0:
+                request.rejected_after_bytes = self._received_bytes + unread_bytes
+            if self._processed_bytes >= request.rejected_after_bytes:
+                self.timed_out += 1
+                self.reject(request.number, 408)
 
     def _sweep_fruitless(self) -> None:
         """Break a connection that keeps sending records of no request, e.g. the rest of a rejected one.
@@ -256,6 +291,11 @@
         if self._fruitless_sweeps > MAX_FRUITLESS_SWEEPS and not self.open and not self.broken:
             self.broken = "records of no request for too long"
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether a request or a record is incomplete."""
+        return bool(self._incomplete) or self._decoder.partial
+
     @property
     def idle(self) -> bool:
         """Whether no request is incomplete or open and no record is to be sent."""
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -81,6 +81,7 @@
             self.enqueue,
             self.record_failure,
             leases.list_confirmed_since,
+            lambda trigger: trigger.ref.connection[0].still_waits(trigger),  # type: ignore[attr-defined]
         )
         contract = Contract.of(settings)
         self._loop_lag = LoopLag(time.monotonic())
@@ -285,11 +286,13 @@
 
     def _read_figures(self) -> dict[str, object]:
         """How many connections wait until their bytes are processed, and for how long at most they did."""
-        turns = self.front.read_turns
+        scheduler, overload = self.front.scheduler, self.front.overload
         return {
-            "waiting": len(turns),
-            "longest_wait_ms": round(turns.take_longest_wait_s() * 1e3, 1),
-            "turns": turns.granted,
+            "waiting": len(scheduler),
+            "longest_wait_ms": round(scheduler.take_longest_wait_s() * 1e3, 1),
+            "turns": scheduler.turns,
+            "call_limit": None if overload.limit is None else round(overload.limit),
+            "refused_early": overload.refused,
         }
 
     def _list_figures(self) -> dict[str, object]:
--- a/swiftwell/sockets.py
+++ b/swiftwell/sockets.py
@@ -74,6 +74,11 @@
         """Raises OSError if no socket can be created."""
         super().__init__(connected or _TcpSocket(socket.AF_INET, socket.SOCK_STREAM), **bounds)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of what was read from the socket and not returned: some of it while no read was pending."""
+        return self._read_buffer_size
+
     def close(self, exc_info: Any = False) -> None:
         """Like the base method, but drops the traceback of the error, whose frames refer to the stream.
 
--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -57,6 +57,7 @@
     on_end: Callable[[Status, Ran], None]  # called if the job ends without an answer
     cancellable: bool  # the worker can be told that the job is abandoned
     encode_again: Callable[[float], bytes]  # its bytes at a time, monotonic s; none if its time is up
+    is_wanted: Callable[[], bool] = lambda: True  # whether the client waits for it still
     only_listed: bool = False  # only to the very process that the worker list names
     is_query: bool = False  # asks for the number of copies; also sent to a draining worker
     connection: Connection | None = None
@@ -263,6 +264,7 @@
         for data, job in queued:
             if isinstance(job, Job):
                 allowed = reachable if job.is_query else may_send
+                allowed = allowed and job.is_wanted()
                 if job.only_listed and allowed:
                     allowed = self.owner.is_listed_process(self)
                 if not allowed:
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from swiftwell.fair_reads import ReadTurns
-from swiftwell.fronts.trigger import Ran
+from swiftwell.fronts.trigger import Ran, Trigger
 from swiftwell.gateway import ports
 from swiftwell.interface import Status
 from swiftwell.workers.resp import codec
@@ -62,7 +62,7 @@
     says whether the last connection to each worker is kept, as it proves that the process is the same;
     `on_change` is told of each connection opened or closed; `on_failure` gets the stage of a contained
     failure and its error; `confirmed_since` says whether the worker list was known to be complete at a
-    monotonic us or later.
+    monotonic us or later; `still_waits` says whether a client still waits for the answer to its trigger.
     """
 
     def __init__(
@@ -78,6 +78,7 @@
         on_change: Callable[[ports.WorkerConnected | ports.WorkerDisconnected], None] = lambda change: None,
         on_failure: Callable[[str, Exception], None] = lambda stage, error: None,
         confirmed_since: Callable[[int], bool] = lambda at_us: True,
+        still_waits: Callable[[Trigger], bool] = lambda trigger: True,
     ) -> None:
         self._bounds, self._address, self._enqueue, self._log, self._ready = (
             bounds,
@@ -89,6 +90,7 @@
         self._wake = wake or self._flush_soon
         self._serves, self._keeps_alive, self._on_change = serves, keeps_alive, on_change
         self.on_failure, self._confirmed_since = on_failure, confirmed_since
+        self._still_waits = still_waits
         self._workers: dict[str, _Worker] = {}
         self._jobs: dict[tuple[str, int], Job] = {}
         self._orders: dict[int, Job] = {}
@@ -147,6 +149,7 @@
             on_end,
             True,
             encode,
+            lambda: self._still_waits(trigger),
             act.only_listed,
             started_s=started_s,
             send_time=send_time,
