A connection that nobody waits behind has the whole iteration; records are decoded some at a time

The price of the turns showed without a flood: each request was a turn of its own (queue, wait, account), and each record a call. A turn takes what is left of the iteration if no other connection waits, and 16 records are decoded at a time, as before the others stay encoded while they wait.

--- a/swiftwell/fronts/fastcgi/codec.py
+++ b/swiftwell/fronts/fastcgi/codec.py
@@ -54,43 +54,44 @@
         return len(self._buffer)
 
     def receive(self, data: bytes) -> None:
-        """Take further bytes of the stream; `next_record` decodes them."""
+        """Take further bytes of the stream; `next_records` decodes them."""
         self._buffer = self._buffer[self._at :] + data if self._at < len(self._buffer) else data
         self._at = 0
 
-    def next_record(self) -> Record | None:
-        """The next record if it is complete; raises FastcgiError on an unsupported version."""
-        end = len(self._buffer)
-        at = self._at
-        if self._skipped_bytes:
-            skipped_bytes = min(self._skipped_bytes, end - at)
-            self._skipped_bytes -= skipped_bytes
-            self._at = at = at + skipped_bytes
-        if end - at < HEADER_BYTES:
-            return None
-        version, kind, number, length, padding = _RECORD_HEADER.unpack_from(self._buffer, at)
-        if version != VERSION:
-            raise FastcgiError(f"unsupported version {version}")
-        body = at + HEADER_BYTES
-        after = body + length + padding
-        if after > end:
-            if length <= self._max_content or end - body < self._max_content:
-                return None
-            length, self._skipped_bytes = self._max_content, after - end
-            after = end
-        elif length > self._max_content:
-            length = self._max_content
-        content = self._buffer[body : body + length]
-        if after < end:
-            self._at = after
+    def next_records(self, limit: int) -> list[Record]:
+        """The next records that are complete, at most so many; raises FastcgiError on an unknown version.
+
+        The others stay encoded: a read of tiny records takes a dozen times its size once they are decoded.
+        """
+        buffer, decoded = self._buffer, []
+        end = len(buffer)
+        at = self._at + min(self._skipped_bytes, end - self._at)
+        self._skipped_bytes -= at - self._at
+        while end - at >= HEADER_BYTES and len(decoded) < limit:
+            version, kind, number, length, padding = _RECORD_HEADER.unpack_from(buffer, at)
+            if version != VERSION:
+                raise FastcgiError(f"unsupported version {version}")
+            body = at + HEADER_BYTES
+            after = body + length + padding
+            if after > end:
+                if length <= self._max_content or end - body < self._max_content:
+                    break
+                length, self._skipped_bytes = self._max_content, after - end
+                after = end
+            elif length > self._max_content:
+                length = self._max_content
+            decoded.append((kind, number, buffer[body : body + length]))
+            at = after
+        if at < end:
+            self._at = at
         else:
             self._buffer, self._at = _EMPTY, 0
-        return kind, number, content
+        return decoded
 
     def feed(self, data: bytes) -> list[Record]:
-        """Take further bytes; returns the records that are now complete."""
+        """Take further bytes; returns all records that are now complete."""
         self.receive(data)
-        return list(iter(self.next_record, None))
+        return self.next_records(len(data) + 1)
 
 
 def record(kind: int, number: int, content: bytes) -> bytes:
--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -38,7 +38,7 @@
 from swiftwell.fronts.overload import OverloadControl
 from swiftwell.fronts.trigger import TOO_MANY, Answer, Kind, Trigger
 from swiftwell.sockets import TcpStream
-from swiftwell.work_scheduler import WORK_PER_TURN, Participant, WorkScheduler
+from swiftwell.work_scheduler import Participant, WorkScheduler
 
 CALL_BYTES = 6_000  # memory of an open request without its body: in the gateway, the module and the link
 BODY_COPIES = 2  # of an open request: as received, and as written to a worker
@@ -214,9 +214,9 @@
         # What comes once the connection closes is read only so that nothing is unread at the close.
         self._events = iter(()) if self.finishing else self.session.events(data)
 
-    def take_turn(self) -> int:
-        """Process bytes that have arrived, for about the cost of a turn; returns the cost."""
-        cost = self._process(WORK_PER_TURN)
+    def take_turn(self, max_cost: int) -> int:
+        """Process bytes that have arrived, for about this cost; returns what it was."""
+        cost = self._process(max_cost)
         if self._events is not None:
             self._arrivals.mark_left_behind()
         return round(cost)
@@ -227,8 +227,9 @@
         Before something is done on behalf of a client that may have withdrawn it, or have left, while its
         bytes waited for their turn.
         """
-        waited_s = time.monotonic() - self._last_read_s
-        if self._has_unprocessed and waited_s > READ_AHEAD_AFTER_S and not self.stream.closed():
+        if not self._has_unprocessed or self.stream.closed():
+            return
+        if time.monotonic() - self._last_read_s > READ_AHEAD_AFTER_S:
             self._listener.scheduler.charge(self, round(self._process(READ_AHEAD_COST)))
 
     def _process(self, max_cost: float) -> float:
--- a/swiftwell/fronts/fastcgi/listener.py
+++ b/swiftwell/fronts/fastcgi/listener.py
@@ -110,9 +110,9 @@
         task.add_done_callback(self._tasks.discard)
         connection.receive(data, len(data) >= FIRST_READ_BYTES)
 
-    def _note_wait(self, waited_s: float, others_wait: bool) -> None:
+    def _note_wait(self, now_s: float, waited_s: float, others_wait: bool) -> None:
         """A connection's bytes are processed now, after waiting for their turn."""
-        self.overload.note_wait(time.monotonic(), waited_s, others_wait, len(self.open_ids), len(self.memory))
+        self.overload.note_wait(now_s, waited_s, others_wait, len(self.open_ids), len(self.memory))
 
     def _exhausted(self) -> None:
         """The process is out of descriptors: free one that a client holds."""
--- a/swiftwell/fronts/fastcgi/session.py
+++ b/swiftwell/fronts/fastcgi/session.py
@@ -22,7 +22,8 @@
 MAX_OPEN_REQUESTS = 32  # on a connection; limit set by the platform
 MAX_REJECTED = 64  # rejected numbers whose further records are ignored; no proper client has more
 MAX_INCOMPLETE_SWEEPS = 8  # of the listener, for a request: 2 s
-RECORD_COST = 1 / 16  # units of `work_scheduler`, of one record
+RECORDS_PER_STEP = 16  # decoded at a time
+RECORD_COST = 1 / RECORDS_PER_STEP  # units of `work_scheduler`
 PARAMS_BYTE_COST = 1 / 512  # units, of decoding params: 40 pairs without values cost one unit
 MAX_FRUITLESS_SWEEPS = 8  # of the listener, with records that belong to no request: 2 s
 
@@ -94,25 +95,26 @@
 
         An ABORT and a BEGIN that reuses its number may arrive in one read.  The number is free only once the
         abort has been answered; else the connection would count as broken, and all its open requests fail.
-        Yields None where records without an event have cost one unit, so that the caller may pause there.
+        Yields None after each `RECORDS_PER_STEP` records, so that the caller may pause there.
         """
         if self.broken:
             return
         self._received_bytes += len(data)
+        decoder = self._decoder
         try:
-            self._decoder.receive(data)
-            while record := self._decoder.next_record():
+            decoder.receive(data)
+            while records := decoder.next_records(RECORDS_PER_STEP):
                 self._stalled_sweeps = 0  # bytes alone are no progress: a record may trickle in without end
                 self._had_records = True
-                events: list[Event] = []
-                self._newest = not self._decoder.partial
-                self.cost += RECORD_COST
-                self._record(*record, events)
-                self._had_progress |= bool(events)
-                yield from events
-                if self.cost >= 1:
-                    yield None
-            if not self._decoder.partial:
+                self.cost += len(records) * RECORD_COST
+                for position, (kind, number, content) in enumerate(records, 1):
+                    events: list[Event] = []
+                    self._newest = position == len(records) and not decoder.partial
+                    self._record(kind, number, content, events)
+                    self._had_progress |= bool(events)
+                    yield from events
+                yield None
+            if not decoder.partial:
                 self._stalled_sweeps = 0
             self._check_ended_params()
         except FastcgiError as error:
--- a/swiftwell/work_scheduler.py
+++ b/swiftwell/work_scheduler.py
@@ -32,21 +32,21 @@
         """Whether it wants another turn."""
         raise NotImplementedError
 
-    def take_turn(self) -> int:
-        """Do work of about `WORK_PER_TURN`; returns its cost."""
+    def take_turn(self, max_cost: int) -> int:
+        """Do work of about this cost; returns what it was."""
         raise NotImplementedError
 
 
 class WorkScheduler:
     """Gives turns to connections.
 
-    `on_wait` gets the seconds that each turn was waited for and whether another connection waits still;
+    `on_wait` gets the time of each turn, the seconds for which it was waited, and whether others wait still;
     `on_failure` the stage of a contained failure and its error.
     """
 
     def __init__(
         self,
-        on_wait: Callable[[float, bool], None] = lambda waited_s, others: None,
+        on_wait: Callable[[float, float, bool], None] = lambda now_s, waited_s, others_wait: None,
         on_failure: Callable[[str, Exception], None] = lambda stage, error: None,
     ) -> None:
         self._on_wait, self._on_failure = on_wait, on_failure
@@ -100,13 +100,14 @@
             asyncio.get_running_loop().call_soon(self._begin_iteration)
 
     def _give_turn(self, participant: Participant) -> None:
-        waited_s = time.monotonic() - participant.waits_since_s
+        now_s, others_wait = time.monotonic(), len(self._queue) > 0
+        waited_s = now_s - participant.waits_since_s
         self._longest_wait_s = max(self._longest_wait_s, waited_s)
         self.turns += 1
-        self._on_wait(waited_s, len(self._queue) > 0)
+        self._on_wait(now_s, waited_s, others_wait)
         self._current, cost = participant, 1
         try:
-            cost = participant.take_turn()
+            cost = participant.take_turn(WORK_PER_TURN if others_wait else WORK_PER_ITERATION - self._spent)
         except Exception as error:  # concerns this connection only
             self._on_failure("client-turn", error)
         finally:
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -101,10 +101,10 @@
     def has_work(self):
         return self.left > 0
 
-    def take_turn(self):
+    def take_turn(self, max_cost):
         self.turns += 1
-        self.left -= work_scheduler.WORK_PER_TURN
-        return work_scheduler.WORK_PER_TURN
+        self.left -= max_cost
+        return max_cost
 
 
 def test_an_iteration_of_the_loop_ends_once_its_turns_have_cost_their_part():
@@ -114,8 +114,8 @@
         for participant in busy:
             scheduler.submit(participant)
         for iteration in range(1, 10):
-            turns = sum(participant.turns for participant in busy)
-            assert turns == iteration * work_scheduler.WORK_PER_ITERATION // work_scheduler.WORK_PER_TURN
+            done = sum(10_000 - participant.left for participant in busy)
+            assert done == iteration * work_scheduler.WORK_PER_ITERATION
             await asyncio.sleep(0)
         assert len(scheduler) == len(busy) and scheduler.take_longest_wait_s() > 0
 
@@ -128,7 +128,7 @@
         scheduler = WorkScheduler(lambda *wait: waits.append(wait))
         light = Requests(1)
         scheduler.submit(light)
-        assert light.turns == 1 and not waits[0][1] and not len(scheduler)
+        assert light.turns == 1 and not waits[0][2] and not len(scheduler)
 
     asyncio.run(main())
 
@@ -138,7 +138,7 @@
         failures = []
         scheduler = WorkScheduler(on_failure=lambda *failure: failures.append(failure))
         failing, other = Requests(5), Requests(5)
-        failing.take_turn = lambda: failing.missing
+        failing.take_turn = lambda max_cost: failing.missing
         failing.left = 0
         scheduler.submit(failing)
         scheduler.submit(other)
