Timers, withdrawals and fields that come by the thousand are handled some at a time

Before an attempt is written, a client whose bytes have waited for 30 ms is looked through: for its end by POLLRDHUP, for the ABORT by the headers of what waits here and in the kernel.

Tests: the look through fails without it in four ways, the batches of timers by count, the check of fields by cost.

--- a/swiftwell/fronts/fastcgi/arrival.py
+++ b/swiftwell/fronts/fastcgi/arrival.py
@@ -64,6 +64,10 @@
         """Nothing is read from now on: what arrives waits for the next read, however often the loop polls."""
         self._backlogged = True
 
+    def since_empty_s(self, now_s: float) -> float:
+        """For how long bytes may have waited at most that are not read yet."""
+        return now_s - self._empty_s
+
     def ages_s(
         self, connected: socket.socket, now_s: float, unseen_s: float, left_behind: bool
     ) -> tuple[float, float]:
--- a/swiftwell/fronts/fastcgi/codec.py
+++ b/swiftwell/fronts/fastcgi/codec.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from struct import Struct
 
 VERSION = 1
@@ -88,6 +89,15 @@
             self._buffer, self._at = _EMPTY, 0
         return decoded
 
+    def headers(self, following: bytes) -> Iterator[tuple[int, int]]:
+        """Type and number of each record in what is not decoded yet and the bytes that follow it."""
+        data = self._buffer[self._at :] + following
+        at, end = self._skipped_bytes, len(data) - HEADER_BYTES
+        while at <= end:
+            _, kind, number, length, padding = _RECORD_HEADER.unpack_from(data, at)
+            yield kind, number
+            at += HEADER_BYTES + length + padding
+
     def feed(self, data: bytes) -> list[Record]:
         """Take further bytes; returns all records that are now complete."""
         self.receive(data)
--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -9,10 +9,7 @@
 
 import asyncio
 import contextlib
-import fcntl
 import socket
-import struct
-import termios
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -37,7 +34,7 @@
 from swiftwell.fronts.memory_budget import MemoryBudget
 from swiftwell.fronts.overload import OverloadControl
 from swiftwell.fronts.trigger import TOO_MANY, Answer, Kind, Trigger
-from swiftwell.sockets import TcpStream
+from swiftwell.sockets import TcpStream, peek, unread_bytes
 from swiftwell.work_scheduler import Participant, WorkScheduler
 
 CALL_BYTES = 6_000  # memory of an open request without its body: in the gateway, the module and the link
@@ -49,14 +46,12 @@
 MAX_UNSENT_UNDER_PRESSURE_BYTES = 16_384  # of a client that holds the most: about one answer
 MAX_RECORD_UNDER_PRESSURE_BYTES = 4_096  # likewise, of a record that is incomplete
 MAX_UNSENT_BYTES = 1 << 20  # beyond this a client counts as not reading; the output of one flush comes on top
-# What a client has sent is processed out of turn if it has waited for so long when a call of that client is
-# about to be sent to a worker: one that has left may be served for 0.1 s.
-READ_AHEAD_AFTER_S = 0.03
-# Then, and before a close, at most all that a client may have open is processed, in reads of a part each.
+# A client that left may be served for 0.1 s; after a part of that, its bytes are looked through for its end.
+LOOK_AHEAD_AFTER_S = 0.03
+MAX_UNREAD_BYTES = MAX_OPEN_REQUESTS * (MAX_BODY_BYTES + 1_024)  # of all that a client may have open
+# Before a close, at most all that a client may have open is processed, in reads of a part each.
 CLOSING_COST = MAX_OPEN_REQUESTS * (REQUEST_COST + READ_COST * (1 + MAX_BODY_BYTES // READ_BYTES))
-READ_AHEAD_COST = CLOSING_COST + MAX_OPEN_REQUESTS * (CALL_COST + WITHDRAWAL_COST)
 _END = object()  # of the events of a read
-_FIONREAD_RESULT = struct.Struct("i")
 REFUSAL_STATUS = {TOO_MANY: 429}  # HTTP status of a refusal by its reason; 503 for all others
 
 
@@ -123,7 +118,6 @@
         self._reads = 0  # that were started
         self._events: Iterator[Event | None] | None = None  # of the read that is being processed
         self._newest_arrived_s = self._others_arrived_s = 0.0  # when its bytes had arrived, monotonic
-        self._last_read_s = 0.0  # monotonic
         self._left_behind = False  # it may have left bytes in the kernel
         self._processed: asyncio.Future[None] | None = None  # set once that read is processed
         self.triggers: dict[int, Trigger] = {}
@@ -208,7 +202,6 @@
         newest_s, others_s = self._arrivals.ages_s(
             self.stream.socket, now_s, self._listener.unseen_s(), left_behind
         )
-        self._last_read_s = now_s
         self._newest_arrived_s, self._others_arrived_s = now_s - newest_s, now_s - others_s
         self._left_behind = left_behind
         # What comes once the connection closes is read only so that nothing is unread at the close.
@@ -221,16 +214,11 @@
             self._arrivals.mark_left_behind()
         return round(cost)
 
-    def read_ahead(self) -> None:
-        """Process all that the client has sent by now, out of turn, also what waits in the kernel.
-
-        Before something is done on behalf of a client that may have withdrawn it, or have left, while its
-        bytes waited for their turn.
-        """
-        if not self._has_unprocessed or self.stream.closed():
-            return
-        if time.monotonic() - self._last_read_s > READ_AHEAD_AFTER_S:
-            self._listener.scheduler.charge(self, round(self._process(READ_AHEAD_COST)))
+    def _longest_unprocessed_s(self) -> float:
+        """For how long bytes may have waited at most that are not processed yet."""
+        now_s = time.monotonic()
+        since_empty_s = self._arrivals.since_empty_s(now_s)
+        return since_empty_s if self._events is None else max(since_empty_s, now_s - self._others_arrived_s)
 
     def _process(self, max_cost: float) -> float:
         """Process bytes that have arrived, until this has cost so much; returns the cost."""
@@ -298,12 +286,8 @@
 
     def _unread_bytes(self) -> int:
         """Size of what the client has sent and is not passed to the session yet."""
-        completed_bytes = len(self._completed_read()) + self.stream.buffered_bytes
-        try:
-            result = fcntl.ioctl(self.stream.socket, termios.FIONREAD, bytes(_FIONREAD_RESULT.size))
-        except OSError:
-            return completed_bytes
-        return completed_bytes + _FIONREAD_RESULT.unpack(result)[0]
+        received_bytes = len(self._completed_read()) + len(self.stream.buffered())
+        return received_bytes + unread_bytes(self.stream.socket)
 
     def _handle(self, event: Event) -> int:
         """Handle one event and return its cost; an unexpected error concerns its request only."""
@@ -355,7 +339,7 @@
             return ""
         if self._refusing or listener.draining:
             return "closing"
-        if not listener.overload.admits(len(self.triggers), len(listener.memory)):
+        if not listener.overload.admits(len(self.triggers), len(listener.open_ids), len(listener.memory)):
             return "overloaded"
         return ""
 
@@ -386,9 +370,28 @@
         return cost
 
     def still_waits(self, trigger: Trigger) -> bool:
-        """Whether the client waits for the answer to a trigger, by all that it has sent by now."""
-        self.read_ahead()
-        return self.triggers.get(trigger.ref.number) is trigger  # type: ignore[attr-defined]
+        """Whether the client waits for the answer to a trigger, by all that it has sent by now.
+
+        Its ABORT, or its end, may wait for a turn behind other requests.
+        """
+        number = trigger.ref.number  # type: ignore[attr-defined]
+        if self.triggers.get(number) is not trigger:
+            return False
+        if self._has_unprocessed and self._longest_unprocessed_s() > LOOK_AHEAD_AFTER_S:
+            self._look_ahead(number)
+        return number in self.triggers
+
+    def _look_ahead(self, number: int) -> None:
+        """Handle the end of the client, or its ABORT of a request, before what it sent earlier."""
+        try:
+            has_left, unread = peek(self.stream.socket, MAX_UNREAD_BYTES)
+        except OSError:
+            has_left, unread = True, b""
+        if has_left:
+            self.stream.close()
+            self._listener.connection_ended(self)
+        elif self.session.has_abort(number, self._completed_read() + self.stream.buffered() + unread):
+            self._request_aborted(number)
 
     def _withdraw(self, number: int) -> None:
         """Tell the gateway that a request's client can no longer be answered."""
@@ -546,7 +549,7 @@
 
     def refuse_and_finish(self) -> None:
         """While draining: refuse what has arrived, and close the connection if no request is half sent."""
-        self._listener.scheduler.charge(self, round(self._process(CLOSING_COST)))
+        self._listener.scheduler.charge_out_of_turn(self, round(self._process(CLOSING_COST)))
         if not (self.session.open or self.session.is_incomplete or self._has_unprocessed):
             self.finish()
 
--- a/swiftwell/fronts/fastcgi/session.py
+++ b/swiftwell/fronts/fastcgi/session.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import sys
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -71,6 +72,7 @@
 
     def __init__(self) -> None:
         self._decoder = Decoder(MAX_RECORD_BYTES)
+        self._decoded: deque[codec.Record] = deque()  # records that are not processed yet
         self._incomplete: dict[int, IncompleteRequest] = {}
         self._rejected: set[int] = set()  # numbers answered before their request was complete
         self.open: dict[int, bool] = {}  # number: whether the connection stays open after the response
@@ -98,35 +100,48 @@
         Yields None after each `RECORDS_PER_STEP` records, so that the caller may pause there.
         """
         if self.broken:
-            return
+            return iter(())
         self._received_bytes += len(data)
+        self._decoder.receive(data)
+        return self._process_records()
+
+    def _process_records(self) -> Iterator[Event | None]:
         decoder = self._decoder
         try:
-            decoder.receive(data)
             while records := decoder.next_records(RECORDS_PER_STEP):
                 self._stalled_sweeps = 0  # bytes alone are no progress: a record may trickle in without end
                 self._had_records = True
                 self.cost += len(records) * RECORD_COST
-                for position, (kind, number, content) in enumerate(records, 1):
+                self._decoded.extend(records)
+                while self._decoded:
                     events: list[Event] = []
-                    self._newest = position == len(records) and not decoder.partial
+                    kind, number, content = self._decoded.popleft()
+                    self._newest = not self._decoded and not decoder.partial
                     self._record(kind, number, content, events)
                     self._had_progress |= bool(events)
                     yield from events
                 yield None
             if not decoder.partial:
                 self._stalled_sweeps = 0
-            self._check_ended_params()
+            yield from self._check_ended_params()
         except FastcgiError as error:
             self.broken = str(error)
+            self._decoded.clear()
         self._processed_bytes = self._received_bytes
 
+    def has_abort(self, number: int, following: bytes) -> bool:
+        """Whether an ABORT of a request is among what is not processed yet, or in bytes that follow it."""
+        wanted = codec.ABORT, number
+        return any(record[:2] == wanted for record in self._decoded) or wanted in self._decoder.headers(
+            following
+        )
+
     def take_cost(self) -> float:
         """The cost of the records that were processed since the last call, in units of `work_scheduler`."""
         cost, self.cost = self.cost, 0.0
         return cost
 
-    def _check_ended_params(self) -> None:
+    def _check_ended_params(self) -> Iterator[None]:
         """Check params whose request does not end with them in one read.
 
         They are parsed again, and then kept, once the request is whole: fields take up to 25 times the memory
@@ -136,6 +151,7 @@
         for request in ended:
             if self._incomplete.get(request.number) is request:
                 self._pairs(request)
+                yield None  # it may have taken some ms
 
     def _pairs(self, request: IncompleteRequest) -> dict[bytes, bytes]:
         self.cost += len(request.params) * PARAMS_BYTE_COST
@@ -220,6 +236,7 @@
     def discard(self, reason: str) -> None:
         """Give the byte stream up, with what is buffered of it."""
         self._decoder, self.broken = Decoder(MAX_RECORD_BYTES), reason
+        self._decoded.clear()
         self._processed_bytes = self._received_bytes
 
     @property
--- a/swiftwell/fronts/overload.py
+++ b/swiftwell/fronts/overload.py
@@ -12,6 +12,7 @@
 WAIT_SHARE = 0.1  # of the shortest target latency of a class, that bytes may wait until they are processed
 INTERVAL_S = 0.1  # between adjustments; a shorter burst is no overload
 DECREASE, INCREASE = 0.7, 1.05  # of the limit in an interval with and without overload
+MAX_OPEN_CALLS = 4_000  # all of which can be ended in a quarter of a second, if their time ends together
 LIFT_INTERVALS = 50  # without a refusal, after which the limit is lifted
 
 
@@ -55,9 +56,14 @@
         self._quiet_intervals = 0 if self._refused_in_interval else self._quiet_intervals + 1
         self.limit = self.limit * INCREASE if self._quiet_intervals < LIFT_INTERVALS else None
 
-    def admits(self, own_calls: int, clients: int) -> bool:
-        """Whether a client with so many open calls may have one more, among so many clients with work."""
-        if self.limit is None or own_calls < max(1.0, self.limit / max(1, clients)):
+    def admits(self, own_calls: int, open_calls: int, clients: int) -> bool:
+        """Whether a client with so many of the open calls may have one more, among so many with work."""
+        limit = self.limit
+        if limit is None:
+            if open_calls < MAX_OPEN_CALLS:
+                return True
+            limit = MAX_OPEN_CALLS
+        if own_calls < max(1.0, limit / max(1, clients)):
             return True
         self.refused += 1
         self._refused_in_interval = True
--- a/swiftwell/gateway/engine.py
+++ b/swiftwell/gateway/engine.py
@@ -42,6 +42,8 @@
 STREAM_TIMEOUT_US = 60_000_000  # time that a streamed answer may take once it has begun
 # Time until a query counts as unanswered: a stalled worker needs longer than the round trip of a LAN.
 QUERY_TIMEOUT_US = 1_000_000
+# Calls may all have the same deadline: ending so many takes some 10 ms, and others are served in between.
+MAX_TIMERS_PER_STEP = 150
 # Timers later than this go to the module in one batch with the other events, so that it sees the gap.
 LATE_TIMER_US = 40_000
 
@@ -149,7 +151,7 @@
         for input_ in inputs:
             self._run_guarded(self._handle_input, input_)
         self._run_guarded(self._advance_evidence)
-        due = self._timer_wheel.due(self._now_us)
+        due = self._timer_wheel.due(self._now_us, MAX_TIMERS_PER_STEP)
         timers = [
             io.Timer(item[1])
             for item in due
--- a/swiftwell/gateway/timer_wheel.py
+++ b/swiftwell/gateway/timer_wheel.py
@@ -6,9 +6,12 @@
 from __future__ import annotations
 
 import heapq
+import sys
+from collections import deque
 from typing import Any
 
 TICK_US = 1_000  # width of a slot; the module's own tick is no finer
+_OVERDUE = -1  # in place of a slot
 SLOTS = 4096  # four seconds: longer than most deadlines, so few timers stay for a further revolution
 
 
@@ -67,6 +70,7 @@
         self._slot_by_number: dict[int, int] = {}
         self._seq = 0
         self._next_tick = now_us // TICK_US  # all earlier ticks have been emptied
+        self._overdue: deque[tuple[int, Any]] = deque()  # number and payload of what is due and not returned
 
     def __len__(self) -> int:
         return len(self._slot_by_number)
@@ -83,14 +87,24 @@
     def cancel(self, number: int) -> None:
         """Cancel a timer; no effect if it was due or cancelled before."""
         slot = self._slot_by_number.pop(number, None)
-        if slot is not None:
+        if slot is not None and slot != _OVERDUE:
             del self._slots[slot][number]
 
-    def due(self, now_us: int) -> list[Any]:
-        """Remove the timers that are due and return their payloads."""
+    def due(self, now_us: int, limit: int = sys.maxsize) -> list[Any]:
+        """Remove timers that are due and return their payloads, at most `limit` of them."""
+        self._collect(now_us)
+        result: list[Any] = []
+        while self._overdue and len(result) < limit:
+            number, payload = self._overdue.popleft()
+            if self._slot_by_number.pop(number, None) is not None:  # else it was cancelled
+                result.append(payload)
+        return result
+
+    def _collect(self, now_us: int) -> None:
+        """Move the timers that are due out of their slots."""
         end = now_us // TICK_US
         if end < self._next_tick:
-            return []
+            return
         found: list[tuple[int, int, Any]] = []
         # After a long pause each slot is visited once, not once for each revolution that passed.
         for tick in range(self._next_tick, min(end, self._next_tick + SLOTS - 1) + 1):
@@ -98,16 +112,20 @@
             if slot:
                 ready = [(due, number, payload) for number, (due, payload) in slot.items() if due <= end]
                 for _, number, _ in ready:
-                    del slot[number], self._slot_by_number[number]
+                    del slot[number]
                 found += ready
         self._next_tick = end + 1
         found.sort(key=lambda entry: entry[:2])
-        return [payload for _, _, payload in found]
+        for _, number, payload in found:
+            self._slot_by_number[number] = _OVERDUE
+            self._overdue.append((number, payload))
 
     def next_us(self) -> int | None:
         """When the next timer is due; None if none is set."""
         if not self._slot_by_number:
             return None
+        if self._overdue:
+            return self._next_tick * TICK_US - TICK_US
         for tick in range(self._next_tick, self._next_tick + SLOTS):
             slot = self._slots[tick % SLOTS]
             if slot and any(due <= tick for due, _ in slot.values()):
--- a/swiftwell/sockets.py
+++ b/swiftwell/sockets.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
+import select
 import socket
+import termios
 from contextlib import suppress
 from struct import Struct
 from typing import Any
@@ -33,6 +36,7 @@
 
 
 _LINGER = Struct("ii")  # struct linger: on or off, seconds
+_INT = Struct("i")
 
 
 def set_reset_on_close(stream: IOStream, on: bool) -> None:
@@ -57,6 +61,27 @@
     return getattr(error, "real_error", None) or error
 
 
+def peek(connected: socket.socket, max_bytes: int) -> tuple[bool, bytes]:
+    """Whether the peer has closed its side, and unread bytes, which stay unread.  Raises OSError."""
+    poll = select.poll()
+    poll.register(connected, select.POLLRDHUP)
+    if poll.poll(0):  # POLLHUP and POLLERR are always told as well
+        return True, b""
+    try:
+        return False, connected.recv(max_bytes, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return False, b""
+
+
+def unread_bytes(connected: socket.socket) -> int:
+    """Size of the bytes that have arrived and are not read; 0 if that is not known."""
+    try:
+        result = fcntl.ioctl(connected, termios.FIONREAD, bytes(_INT.size))
+    except OSError:
+        return 0
+    return _INT.unpack(result)[0]
+
+
 class _TcpSocket(socket.socket):
     def connect(self, address: Any) -> None:
         try:
@@ -74,10 +99,9 @@
         """Raises OSError if no socket can be created."""
         super().__init__(connected or _TcpSocket(socket.AF_INET, socket.SOCK_STREAM), **bounds)
 
-    @property
-    def buffered_bytes(self) -> int:
-        """Size of what was read from the socket and not returned: some of it while no read was pending."""
-        return self._read_buffer_size
+    def buffered(self) -> bytes:
+        """What was read from the socket and not returned: some is read while no read is pending."""
+        return bytes(self._read_buffer)
 
     def close(self, exc_info: Any = False) -> None:
         """Like the base method, but drops the traceback of the error, whose frames refer to the stream.
--- a/swiftwell/work_scheduler.py
+++ b/swiftwell/work_scheduler.py
@@ -81,9 +81,8 @@
         """A connection has no work any more."""
         self._queue.discard(participant)
 
-    def charge(self, participant: Participant, cost: int) -> None:
+    def charge_out_of_turn(self, participant: Participant, cost: int) -> None:
         """A connection did work out of turn: its next turns come later."""
-        self._spent += cost
         self._queue.charge(participant, cost)
 
     def take_longest_wait_s(self) -> float:
@@ -112,7 +111,8 @@
             self._on_failure("client-turn", error)
         finally:
             self._current = None
-        self.charge(participant, cost)
+        self._spent += cost
+        self._queue.charge(participant, cost)
         if participant.has_work:
             self._push(participant)
 
--- a/tests/floodbench.py
+++ b/tests/floodbench.py
@@ -127,7 +127,8 @@
     if not share:
         yield
         return
-    core = max(os.sched_getaffinity(0))
+    cores = sorted(os.sched_getaffinity(0))
+    core = cores[-1 - int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % len(cores)]  # its own
     os.sched_setaffinity(process.pid, {core})
     spin = "import threading, os\nthreading.Timer(90, os._exit, (0,)).start()\nwhile True: pass"
     spinner = subprocess.Popen([sys.executable, "-c", spin])
--- a/tests/test_busy_peers.py
+++ b/tests/test_busy_peers.py
@@ -105,7 +105,7 @@
             await until(lambda: len(node.front.connections) == len(bad))
             records = codec.record(codec.STDIN, 9, b"") * (16 * READ_BYTES // codec.HEADER_BYTES)
             scheduler, turns, per_iteration = node.front.scheduler, [], [0]
-            charge, begin_iteration = scheduler.charge, scheduler._begin_iteration
+            charge, begin_iteration = scheduler._queue.charge, scheduler._begin_iteration
 
             def begin_next_iteration():
                 per_iteration.append(0)
@@ -116,7 +116,8 @@
                 per_iteration[-1] += cost
                 charge(participant, cost)
 
-            scheduler.charge, scheduler._begin_iteration = charge_and_count, begin_next_iteration
+            scheduler._queue.charge = charge_and_count
+            scheduler._begin_iteration = begin_next_iteration
             monkeypatch.setattr(work_scheduler, "WORK_PER_ITERATION", 0)
             for sock in bad:
                 sock.sendall(records)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -13,7 +13,7 @@
 from swiftwell.fronts.trigger import Kind, Ran
 from swiftwell.gateway import ports
 from swiftwell.gateway.effects import Bounds, Record, Step
-from swiftwell.gateway.engine import tables
+from swiftwell.gateway.engine import MAX_TIMERS_PER_STEP, tables
 from swiftwell.interface import Status
 
 
@@ -471,3 +471,20 @@
     assert ended == ["served", "failed"]  # the second may have run: neither retried nor refused
     assert [start.trigger.function for start in again] == [outputs[2].trigger.function]
     assert not [o for o in harness.outputs if isinstance(o, ports.Write)]
+
+
+# Guards against: thousands of calls with one deadline were ended in one iteration of the event loop.
+def test_calls_whose_time_ends_together_are_ended_some_in_each_step():
+    patient = replace(SAFE, target_us=4_000_000, deadline_us=6_000_000)
+    harness = EngineHarness(replace(SETTINGS, classes=(patient,)), workers=())
+    end_us = harness.now + 2_000_000
+    for _ in range(1_000):  # each gives up at half of its time, as no worker is there
+        harness.now += 1_000
+        harness.call(left=2 * (end_us - harness.now), source=f"m:{harness.now}")
+    harness.advance(end_us - harness.now - 5_000)
+    assert harness.engine.open == 1_000
+    harness.now, per_step = end_us, []
+    while harness.engine.open:
+        assert len(per_step) < 100 and harness.engine.next_us() <= harness.now
+        per_step.append(len(of_type(harness.step(), ports.Reply)))
+    assert sum(per_step) == 1_000 and max(per_step) <= MAX_TIMERS_PER_STEP
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
 from hypothesis import given
@@ -30,8 +31,8 @@
 from swiftwell.fronts.fastcgi import codec
 from swiftwell.fronts.fastcgi import connection as fc
 from swiftwell.fronts.fastcgi.connection import READ_BYTES
-from swiftwell.fronts.fastcgi.session import MAX_INCOMPLETE_SWEEPS, Session
-from swiftwell.fronts.overload import INTERVAL_S, LIFT_INTERVALS, OverloadControl
+from swiftwell.fronts.fastcgi.session import MAX_INCOMPLETE_SWEEPS, PARAMS_BYTE_COST, Session
+from swiftwell.fronts.overload import INTERVAL_S, LIFT_INTERVALS, MAX_OPEN_CALLS, OverloadControl
 from swiftwell.work_scheduler import Participant, WorkScheduler
 
 LARGEST_COST = 7  # of a turn in the plays below
@@ -165,14 +166,22 @@
     for interval in range(20):
         control.note_wait(interval * STEP_S, 2 * MAX_WAIT_S, True, 1_000, 300)
         control.note_wait((interval + 0.9) * STEP_S, 2 * MAX_WAIT_S, False, 1_000, 300)
-        assert control.limit is None and control.admits(1_000, 300)
+        assert control.limit is None and control.admits(1_000, 1_000, 300)
 
 
 def test_while_bytes_wait_for_too_long_clients_share_the_calls_equally():
     control = overloaded_control(20)
     assert control.limit == 300  # one call each, and no less
-    assert control.admits(0, 300) and not control.admits(1, 300) and control.refused == 1
-    assert control.admits(29, 10) and not control.admits(30, 10)  # of fewer clients each gets more
+    assert control.admits(0, 300, 300) and not control.admits(1, 300, 300) and control.refused == 1
+    assert control.admits(29, 30, 10) and not control.admits(30, 30, 10)  # of fewer clients each gets more
+
+
+# Guards against: thousands of calls whose time ends together, which nobody could be told of in time.
+def test_more_calls_than_can_be_ended_together_are_shared_equally_without_overload():
+    control = OverloadControl(MAX_WAIT_S)
+    assert control.admits(1_000, MAX_OPEN_CALLS - 1, 10)
+    assert control.admits(MAX_OPEN_CALLS // 10 - 1, MAX_OPEN_CALLS, 10)
+    assert not control.admits(MAX_OPEN_CALLS // 10, MAX_OPEN_CALLS, 10)
 
 
 def test_the_limit_rises_once_nothing_waits_and_is_lifted_when_it_refuses_nobody():
@@ -262,9 +271,9 @@
                 sock.sendall(codec.record(codec.ABORT, 2, b""))
             else:
                 linger = (1, 0) if how == "reset" else (0, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, fc.struct.pack("ii", *linger))
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", *linger))
                 sock.close()
-            await asyncio.sleep(2 * fc.READ_AHEAD_AFTER_S)
+            await asyncio.sleep(2 * fc.LOOK_AHEAD_AFTER_S)
             node.link.flush = flush
             flush()
             await until(lambda: node.engine.open == 0)
@@ -336,3 +345,40 @@
             assert len(worker.runs()) == 1
 
     run(main())
+
+
+# Guards against: the time of the last read was taken for the age of what it left behind.
+def test_nothing_is_sent_for_a_client_whose_abort_waited_behind_a_body_in_the_kernel(tmp_path, monkeypatch):
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            assert (await front.ask(1, fields(id_(1))))[0] == 200
+            backlogged = Backlogged(node)
+            backlogged.hold(monkeypatch)
+            whole = request(2, fields(id_(2), wait="1400"), b"b" * 7_000)
+            # The last read that the request needs is a full one; the abort is behind it.
+            filler = codec.record(codec.DATA, 2, b"d" * (-len(whole) % READ_BYTES - codec.HEADER_BYTES))
+            front.writer.write(filler + whole + codec.record(codec.ABORT, 2, b""))
+            await until(lambda: len(node.front.scheduler) == 1)
+            await asyncio.sleep(2 * fc.LOOK_AHEAD_AFTER_S)
+            backlogged.budget = 1  # one read in each iteration
+            backlogged.release(monkeypatch)
+            await until(lambda: not len(node.front.scheduler))
+            await until(lambda: node.engine.open == 0)
+            assert [arguments[1].decode() for arguments in worker.runs()] == [id_(1)]
+
+    run(main())
+
+
+# Guards against: the fields of 32 requests of 16 KiB each were checked in one turn, some 0.1 s.
+def test_the_check_of_large_fields_pauses_after_each_request():
+    session = Session()
+    for number in range(1, 33):
+        pairs = b"".join(codec.pair(b"%04x" % n, b"") for n in range(2_700))
+        session.receive(codec.begin(number) + codec.record(codec.PARAMS, number, pairs))
+    session.take_cost()
+    ends = b"".join(codec.record(codec.PARAMS, number, b"") for number in range(1, 33))
+    steps = []
+    for _ in session.events(ends):
+        steps.append(session.take_cost())
+    assert sum(steps) > 32 * 2_700 * 6 * PARAMS_BYTE_COST * 0.9
+    assert max(steps) < 2_700 * 6 * PARAMS_BYTE_COST + 3
--- a/tests/test_timer_wheel.py
+++ b/tests/test_timer_wheel.py
@@ -39,6 +39,22 @@
     assert wheel.due(now + 4 * SLOTS * TICK_US) == heap.due(now + 4 * SLOTS * TICK_US)
 
 
+@given(st.lists(st.integers(0, 5 * TICK_US), max_size=40), st.integers(1, 7), st.sets(st.integers(0, 39)))
+def test_timers_that_are_due_together_come_in_order_some_at_a_time(delays, limit, cancelled):
+    wheel, heap = TimerWheel(0), TimerHeap()
+    numbers = [(wheel.add(delay, n), heap.add(-(-delay // TICK_US), n)) for n, delay in enumerate(delays)]
+    now, returned, batch = 10 * TICK_US, wheel.due(10 * TICK_US, limit), [0]
+    for n in cancelled & set(range(len(delays))) - set(returned):
+        wheel.cancel(numbers[n][0])
+        heap.cancel(numbers[n][1])
+    while batch:
+        assert not len(wheel) or wheel.next_us() <= now
+        batch = wheel.due(now, limit)
+        assert len(batch) <= limit
+        returned += batch
+    assert returned == heap.due(10) and not len(wheel)
+
+
 def test_cancelled_timers_do_not_pile_up_in_the_heap():
     heap = TimerHeap()
     for number in range(10_000):
