--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -382,3 +382,47 @@
         steps.append(session.take_cost())
     assert sum(steps) > 32 * 2_700 * 6 * PARAMS_BYTE_COST * 0.9
     assert max(steps) < 2_700 * 6 * PARAMS_BYTE_COST + 3
+
+
+# Guards against: sweeps counted the time that the rest of a request waited in the kernel and for its turn.
+def test_a_request_whose_rest_waits_for_its_turn_is_not_rejected_as_incomplete(tmp_path, monkeypatch):
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node, Front(node.port) as front:
+            assert (await front.ask(1, fields(id_(1))))[0] == 200
+            whole = request(2, fields(id_(2), wait="1400"), b"b" * 3 * READ_BYTES)
+            front.writer.write(whole[:100])
+            (connection,) = node.front.connections
+            await until(lambda: connection.session.is_incomplete)
+            backlogged = Backlogged(node)
+            backlogged.hold(monkeypatch)
+            front.writer.write(whole[100:])
+            await until(lambda: len(node.front.scheduler) == 1)
+            await until(lambda: connection._unread_bytes() >= 2 * READ_BYTES)
+            for _ in range(2 * MAX_INCOMPLETE_SWEEPS):
+                node.front.sweep()
+            backlogged.release(monkeypatch)
+            assert (await front.answer(2))[0] == 200
+
+    run(main())
+
+
+# Guards against: bytes that come while an earlier read waits for its turn counted as just arrived.
+def test_the_time_that_bytes_wait_behind_an_earlier_read_counts_against_a_request(tmp_path, monkeypatch):
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node:
+            sock = connect(node.port)
+            sock.sendall(FIRST_BYTES)
+            await until(lambda: node.front.connections)
+            backlogged = Backlogged(node)
+            backlogged.hold(monkeypatch)
+            whole = request(1, fields(id_(1), wait="1400"))
+            sock.sendall(whole[:100])
+            await until(lambda: len(node.front.scheduler) == 1)
+            sock.sendall(whole[100:])
+            await asyncio.sleep(0.3)
+            backlogged.release(monkeypatch)
+            await until(lambda: worker.runs())
+            assert ttl_ms(worker.runs()[0]) <= 1_400 - 300 + 20
+            sock.close()
+
+    run(main())
--- a/tests/test_memory_floods.py
+++ b/tests/test_memory_floods.py
@@ -2,16 +2,30 @@
 
 import asyncio
 import os
+import socket
 import subprocess
 import sys
 from collections import Counter
 from pathlib import Path
 
 import pytest
-from platformbench import Front, Worker, document, echo, fields, until, worker_reply
+from platformbench import (
+    FIRST_BYTES,
+    Front,
+    Worker,
+    document,
+    echo,
+    fields,
+    request,
+    router,
+    until,
+    worker_reply,
+)
 from socketbench import run
 from test_platform import RouterProcess, id_
+from test_request_deadlines import connect
 
+from swiftwell.fronts.fastcgi import codec
 from swiftwell.fronts.memory_budget import MemoryBudget
 
 USUAL = 8  # usual clients
@@ -144,3 +158,46 @@
     assert not budget.may_add("small", 500) and not budget.may_add("large", 1)
     budget.update("large", 0)
     assert budget.total_bytes == 50 and len(budget) == 1
+
+
+def incomplete_requests(sock, count):
+    """Requests without an end on one connection: what is held of them can be released."""
+    for number in range(1, count + 1):
+        sock.sendall(codec.begin(number) + codec.record(codec.PARAMS, number, b"x" * 10_000))
+
+
+# Guards against: a client above its share that was told to give way and kept what it holds.
+@pytest.mark.parametrize("holds", ["incomplete requests", "half a record", "answers not read"])
+def test_a_client_above_its_share_gives_way_by_itself(tmp_path, holds):
+    async def main():
+        async def large(worker, writer, arguments):
+            if arguments[0] == b"FN":
+                body = b"a" * (200_000 if int(arguments[1], 16) > 1 else 1)
+                writer.write(worker_reply(arguments[1], b"DONE", b"why=reused", body))
+
+        async with (
+            Worker(large) as worker,
+            router(tmp_path, [worker.port], sockets=512) as node,
+            Front(node.port) as usual,
+        ):
+            assert (await usual.ask(1, fields(id_(1))))[0] == 200
+            (kept,) = node.front.connections
+            sock = connect(node.port)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.sendall(FIRST_BYTES)
+            await until(lambda: len(node.front.connections) == 2)
+            (holder,) = set(node.front.connections) - {kept}
+            if holds == "incomplete requests":
+                incomplete_requests(sock, 4)
+            elif holds == "half a record":
+                sock.sendall(codec.begin(1) + codec.record(codec.PARAMS, 1, b"x" * 16_000)[:-1])
+            else:
+                sock.sendall(b"".join(request(n, fields(id_(n))) for n in range(2, 18)))
+            await until(lambda: holder.held_bytes > 14_000)
+            node.front.memory.limit_bytes = 2_000
+            node.front.account(holder)
+            await until(lambda: node.front.counts["gave_way"] and holder.held_bytes < 2_000)
+            assert kept in node.front.connections
+            sock.close()
+
+    run(main())
--- a/tests/test_request_deadlines.py
+++ b/tests/test_request_deadlines.py
@@ -8,6 +8,7 @@
 import socket
 import time
 
+import pytest
 from platformbench import (
     FIRST_BYTES,
     HOST,
@@ -133,3 +134,21 @@
             assert ttl_ms(worker.runs()[1]) <= 1_000 - STALL_S * 1_000 + SLACK_MS
 
     run(main())
+
+
+# Guards against: without the kernel's figure, a request that came late in a stall was taken for as old as it.
+def test_a_request_that_comes_at_the_end_of_a_stall_keeps_its_time(tmp_path):
+    async def main():
+        async with Worker(echo) as worker, router(tmp_path, [worker.port]) as node:
+            sock = connect(node.port)
+            sock.sendall(FIRST_BYTES)
+            await until(lambda: node.front.connections)
+            if arrival.newest_age_s(sock) is None:
+                pytest.skip("this kernel does not tell when the newest bytes arrived")
+            time.sleep(3.0)
+            sock.sendall(request(1, fields(id_(1), wait="6000")))
+            await until(lambda: worker.runs())
+            assert ttl_ms(worker.runs()[0]) > 4_500
+            sock.close()
+
+    run(main())
