--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -400,6 +400,11 @@
             await until(lambda: connection._unread_bytes() >= 2 * READ_BYTES)
             for _ in range(2 * MAX_INCOMPLETE_SWEEPS):
                 node.front.sweep()
+            scheduler, before = node.front.scheduler, connection._unread_bytes()
+            while connection._unread_bytes() == before:  # turns for one read, and the rest waits still
+                connection._process(1)
+            node.front.sweep()
+            assert len(scheduler) == 1 and connection._unread_bytes()
             backlogged.release(monkeypatch)
             assert (await front.answer(2))[0] == 200
 
