--- a/tests/test_memory_floods.py
+++ b/tests/test_memory_floods.py
@@ -187,6 +187,7 @@
             sock.sendall(FIRST_BYTES)
             await until(lambda: len(node.front.connections) == 2)
             (holder,) = set(node.front.connections) - {kept}
+            holder.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
             if holds == "incomplete requests":
                 incomplete_requests(sock, 4)
             elif holds == "half a record":
