Half-read answers of workers are bounded together: a large one is read with a permit

What could be seen: 330 connections with 262,144 bytes of an answer each come to 86 MB, on top of what clients hold; a router of 96 MB would be killed.

Why this works: a connection that has buffered 16 KiB of an answer reads on with one of a number of permits only, an eighth of the free memory in answers of the largest size (75 with 192 MB, 2 at least). The others leave their bytes in the kernel, in their order; small answers need no permit. A connection that ends gives its permit back, or stops waiting and ends its calls.

Test: four connections with half answers of 200 KB and one permit hold at most one of them, and all are served; it fails without the wait, as does the test that closes connections which wait.

--- a/swiftwell/fronts/memory_budget.py
+++ b/swiftwell/fronts/memory_budget.py
@@ -18,13 +18,13 @@
 MIN_BUDGET_BYTES = 2_000_000  # some dozen of the largest requests, where the process has hardly any memory
 
 
-def budget_bytes(memory_bytes: float, used_bytes: float) -> int:
-    """The budget of a process that may use `memory_bytes` and used `used_bytes` when it had no clients.
+def budget_bytes(free_bytes: float) -> int:
+    """The budget of a process that had so much memory left when it had no clients.
 
-    >>> budget_bytes(130e6, 40e6)
+    >>> budget_bytes(90e6)
     30000000
     """
-    return max(MIN_BUDGET_BYTES, int((memory_bytes - used_bytes) * BUDGET_SHARE))
+    return max(MIN_BUDGET_BYTES, int(free_bytes * BUDGET_SHARE))
 
 
 class MemoryBudget(Generic[Holder]):
--- a/swiftwell/platform/node.py
+++ b/swiftwell/platform/node.py
@@ -33,6 +33,7 @@
 from swiftwell.platform.startup import retry, retry_blocking
 from swiftwell.settings import platform as config
 from swiftwell.settings.platform import ConfigError, Platform
+from swiftwell.workers.resp.answer_permits import large_answers
 from swiftwell.workers.resp.link import ORDER_TIMEOUT_S, RespBounds, RespLink
 
 ANSWER_MARGIN_US = 5_000  # of each request's time, kept for the answer's way to the client
@@ -68,6 +69,7 @@
             platform.connect_timeout_us / 1e6,
             platform.idle_timeout_us / 1e6,
             order_s,
+            large_answers(_free_bytes(platform)),
         )
         self.link = RespLink(
             link_bounds,
@@ -85,7 +87,7 @@
         )
         contract = Contract.of(settings)
         self._loop_lag = LoopLag(time.monotonic())
-        memory_bytes = budget_bytes(platform.memory_mb * 1e6, _memory_mb() * 1e6)
+        memory_bytes = budget_bytes(_free_bytes(platform))
         self.front = Listener(
             self, contract, limits.clients, lambda: self.healthy, self._unseen_s, memory_bytes
         )
@@ -307,6 +309,11 @@
         }
 
 
+def _free_bytes(platform: Platform) -> float:
+    """The memory that is left to a process without clients."""
+    return (platform.memory_mb - _memory_mb()) * 1e6
+
+
 def _memory_mb() -> float:
     try:
         with open("/proc/self/statm", encoding="ascii") as file:
--- a/swiftwell/workers/resp/codec.py
+++ b/swiftwell/workers/resp/codec.py
@@ -49,6 +49,11 @@
         self._needed = 0  # bytes that must be buffered before parsing can get any further
         self._error: RespError | None = None  # found behind the answers last returned
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of what is read of answers that are not whole."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Answer]:
         """Return the answers that are now whole.
 
--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -21,6 +21,7 @@
 from swiftwell.interface import Status
 from swiftwell.sockets import RETRY_S, TcpStream, cause_of, is_local, set_reset_on_close
 from swiftwell.workers.resp import codec
+from swiftwell.workers.resp.answer_permits import UNPERMITTED_BYTES, AnswerPermits
 from swiftwell.workers.resp.codec import Answer, Parser, RespError
 from swiftwell.workers.resp.command_history import MAX_KNOWN_IDS, CommandHistory
 
@@ -83,6 +84,7 @@
     """The link, as its connections see it."""
 
     read_turns: ReadTurns
+    answer_permits: AnswerPermits
     on_failure: Callable[[str, Exception], None]
 
     def connection_closed(self, connection: Connection, protocol_error: str, jobs: list[Job]) -> None:
@@ -127,6 +129,7 @@
         self.connect_result: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self.last_used_s, self.last_received_s = time.monotonic(), 0.0
         self._parser = Parser()
+        self._permit: asyncio.Future[None] | None = None  # to read a large answer
         self._output: list[_Output] = []
         self._blocked = False  # the kernel buffer is full: writing is tried again later
         self._close_requested = False
@@ -150,6 +153,7 @@
             reader = FairReader(self._stream, READ_BYTES, self.owner.read_turns)
             while True:
                 self._receive(await reader.read())
+                await self._permission_to_read()
         except (OSError, TimeoutError, StreamClosedError) as error:
             self._record_failure(error)
         except RespError as error:
@@ -166,6 +170,25 @@
             self._answer(answer)
         self._parser.check()
 
+    async def _permission_to_read(self) -> None:
+        """Wait until more of a large answer may be read; raises StreamClosedError if the connection ends."""
+        if self._parser.buffered_bytes <= UNPERMITTED_BYTES:
+            self._give_back_permit()
+            return
+        if self._permit is None:
+            self._permit = self.owner.answer_permits.request()
+        try:
+            await self._permit
+        except asyncio.CancelledError:
+            if self._permit is not None:  # the task was cancelled, not the permit
+                raise
+            raise StreamClosedError from None
+
+    def _give_back_permit(self) -> None:
+        permit, self._permit = self._permit, None
+        if permit is not None:
+            self.owner.answer_permits.give_back(permit)
+
     async def _connect(self, deadline_s: float) -> None:
         """Connect before `deadline_s`, monotonic.  Retries failures caused on this machine."""
         while True:
@@ -392,6 +415,7 @@
     def close(self) -> None:
         """Close the connection; `run` ends its jobs.  What may still be on its way is dropped by a reset."""
         self._close_requested = True
+        self._give_back_permit()
         if self._stream is not None and not self._stream.closed():
             if self.history.all_arrived:
                 set_reset_on_close(self._stream, False)
--- a/swiftwell/workers/resp/link.py
+++ b/swiftwell/workers/resp/link.py
@@ -17,6 +17,7 @@
 from swiftwell.gateway import ports
 from swiftwell.interface import Status
 from swiftwell.workers.resp import codec
+from swiftwell.workers.resp.answer_permits import AnswerPermits
 from swiftwell.workers.resp.codec import Answer
 from swiftwell.workers.resp.connection import Connection, Job, SendTime
 
@@ -44,6 +45,7 @@
     connect_s: float = 0.25
     idle_s: float = 30.0
     order_s: float = ORDER_TIMEOUT_S
+    large_answers: int = 64  # that are read at a time, in memory each of up to `codec.MAX_BODY_BYTES`
 
 
 @dataclass(slots=True, eq=False)
@@ -100,6 +102,7 @@
         self._unproven_before: dict[Connection, None] = {}
         self._tasks: set[asyncio.Task] = set()
         self.read_turns = ReadTurns()
+        self.answer_permits = AnswerPermits(bounds.large_answers)
         self.open, self._closed = 0, False
         self._credit = 0.0  # connections that may be opened although another one to the worker could be used
         self.counts = dict.fromkeys(("opened", "spoilt", "ended", "silent", "refused", "kept_alive"), 0)
