MQTT clients share the iterations of the event loop, whether their reads are full or not

Why this works: a connection puts what it read into its decoder and waits for a turn; an iteration processes one full read's worth of bytes of all clients of an endpoint. A hand-over takes the decoder's bytes along, as before, gives no turn while the state is taken, and the successor processes what it was handed at once.

FairReader loses what only the FastCGI front used: ages, counts and unprocessed reads, which are the connection's own.

--- a/swiftwell/fair_reads.py
+++ b/swiftwell/fair_reads.py
@@ -8,9 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import deque
-from collections.abc import Callable
 
 from tornado.iostream import IOStream
 
@@ -24,17 +22,6 @@
 
     def __init__(self) -> None:
         self._waiting: deque[asyncio.Future[None]] = deque()
-        self.granted = 0
-        self._longest_wait_s = 0.0
-
-    def __len__(self) -> int:
-        """Number of connections that wait for a turn."""
-        return len(self._waiting)
-
-    def take_longest_wait_s(self) -> float:
-        """The longest wait for a turn since the last call."""
-        longest_wait_s, self._longest_wait_s = self._longest_wait_s, 0.0
-        return longest_wait_s
 
     async def wait(self) -> None:
         """Wait for a turn, which comes in a later iteration of the event loop."""
@@ -43,10 +30,7 @@
         if not self._waiting:
             loop.call_soon(self._grant)
         self._waiting.append(turn)
-        began_s = time.monotonic()
         await turn
-        self.granted += 1
-        self._longest_wait_s = max(self._longest_wait_s, time.monotonic() - began_s)
 
     def _grant(self) -> None:
         while self._waiting:
@@ -63,60 +47,72 @@
 
     After a full read, which may have left bytes in the kernel, the connection waits for one of the shared
     `turns`; after one that did not have to wait, for an iteration of the event loop.  It waits before the
-    next read: bytes that were taken from the kernel are always returned at once.  `left_behind`: an earlier
-    read of the connection was a full one.  `on_wait` is called when a read has to wait: the connection has no
-    unread bytes then.
+    next read: bytes that were taken from the kernel are always returned at once.
     """
 
-    def __init__(
-        self,
-        stream: IOStream,
-        max_bytes: int,
-        turns: ReadTurns,
-        on_wait: Callable[[], None] = lambda: None,
-        left_behind: bool = False,
-    ) -> None:
-        self._stream, self._max_bytes, self._turns, self._on_wait = stream, max_bytes, turns, on_wait
-        self._left_behind, self._at_once = left_behind, False
+    def __init__(self, stream: IOStream, max_bytes: int, turns: ReadTurns) -> None:
+        self._stream, self._max_bytes, self._turns = stream, max_bytes, turns
+        self._left_behind = self._at_once = False
         self._reading: asyncio.Future[bytes] | None = None
-        self.waits_for_turn = False  # the kernel may hold bytes for which no read is pending
 
     async def read(self) -> bytes:
         """Return some bytes; raises StreamClosedError at the end of the stream."""
-        if self._left_behind or self._at_once:
-            await self._let_others_run()
+        if self._left_behind:
+            await self._turns.wait()
+        elif self._at_once:
+            await asyncio.sleep(0)
         self._reading = self._stream.read_bytes(self._max_bytes, partial=True)
         self._at_once = self._reading.done()
-        if not self._at_once:
-            self._on_wait()
         data = await self._reading
         self._reading = None
         self._left_behind = len(data) >= self._max_bytes
         return data
 
-    async def _let_others_run(self) -> None:
-        self.waits_for_turn = True
-        try:
-            if self._left_behind:
-                await self._turns.wait()
-            else:
-                await asyncio.sleep(0)
-        finally:
-            self.waits_for_turn = False
-
-    @property
-    def has_unprocessed(self) -> bool:
-        """Whether a read is complete, with bytes or the end of the stream, and `read` has not returned it."""
-        return self._reading is not None and self._reading.done()
-
-    def take_unprocessed(self) -> bytes:
-        """The bytes that `read` is about to return; b"" if there are none."""
-        reading = self._reading
-        if reading is None or not reading.done() or reading.cancelled() or reading.exception() is not None:
-            return b""
-        self._reading = None
-        return reading.result()
-
     def close(self) -> None:
         """Forget the last read, whose exception refers to the frames that awaited it."""
         self._reading = None
+
+
+class ProcessingTurns:
+    """Turns to process what was read, among connections of which many may have read something at a time.
+
+    An iteration of the event loop processes `bytes_per_iteration` and what a read goes beyond them, in the
+    order in which connections asked.  Bytes that wait are kept where a hand-over finds them.
+    """
+
+    def __init__(self, bytes_per_iteration: int) -> None:
+        self._bytes_per_iteration = bytes_per_iteration
+        self._waiting: deque[tuple[asyncio.Future[None], int]] = deque()
+        self._processed_bytes = 0  # in this iteration
+        self._paused = self._iteration_scheduled = False
+
+    async def wait(self, size: int) -> None:
+        """Wait until so many bytes may be processed, which is at once if nobody waits and there is room."""
+        turn = asyncio.get_running_loop().create_future()
+        self._waiting.append((turn, size))
+        self._grant()
+        await turn
+
+    def pause(self) -> None:
+        """Give no turn from now on."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Give turns again."""
+        self._paused = False
+        self._grant()
+
+    def _grant(self) -> None:
+        while self._waiting and not self._paused and self._processed_bytes < self._bytes_per_iteration:
+            turn, size = self._waiting.popleft()
+            if not turn.done():  # else its connection was cancelled
+                turn.set_result(None)
+                self._processed_bytes += size
+        if self._processed_bytes and not self._iteration_scheduled:
+            self._iteration_scheduled = True
+            asyncio.get_running_loop().call_soon(self._begin_iteration)
+
+    def _begin_iteration(self) -> None:
+        self._iteration_scheduled = False
+        self._processed_bytes = 0
+        self._grant()
--- a/swiftwell/fronts/mqtt/codec.py
+++ b/swiftwell/fronts/mqtt/codec.py
@@ -577,7 +577,11 @@
         """Continue the decoder of the previous process; `connected`: the CONNECT has been received."""
         self._awaits_connect = not connected
 
-    def feed(self, data: bytes) -> Iterator[Packet]:
+    def receive(self, data: bytes) -> None:
+        """Keep received bytes until the next `feed`."""
+        self._buffer += data
+
+    def feed(self, data: bytes = b"") -> Iterator[Packet]:
         """Parse received bytes and yield complete packets.
 
         Raises ProtocolError, after which the decoder must not be used.
--- a/swiftwell/fronts/mqtt/connection.py
+++ b/swiftwell/fronts/mqtt/connection.py
@@ -10,7 +10,7 @@
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from swiftwell.fair_reads import FairReader, ReadTurns
+from swiftwell.fair_reads import FairReader, ProcessingTurns, ReadTurns
 from swiftwell.fronts.mqtt.codec import (
     V5,
     Connack,
@@ -29,7 +29,7 @@
     """Reads packets until the stream ends; writes to a closed connection are dropped.
 
     `version` is 0 on the server side until the CONNECT is received.  The connection is closed when more than
-    `max_unsent_bytes` wait for a peer that does not read.  `read_turns` is shared by the connections of one
+    `max_unsent_bytes` wait for a peer that does not read.  `turns` are shared by the connections of one
     endpoint.
     """
 
@@ -39,10 +39,11 @@
         version: int,
         max_packet_bytes: int,
         max_unsent_bytes: int,
-        read_turns: ReadTurns | None = None,
+        turns: ProcessingTurns | None = None,
     ) -> None:
         self.stream = stream
-        self._reader = FairReader(stream, READ_BYTES, read_turns or ReadTurns())
+        self._reader = FairReader(stream, READ_BYTES, ReadTurns())
+        self.turns = turns or ProcessingTurns(READ_BYTES)
         self.decoder = Decoder(version, max_packet_bytes)
         self.peer_max_packet_bytes = 0  # Maximum Packet Size of the peer; 0: no limit
         self.received_at = self.sent_at = time.monotonic()
@@ -63,13 +64,15 @@
         A protocol error ends this connection only, with the reason code of the error.
         """
         try:
+            size = 0  # a decoder that was taken over may hold packets already
             while not self.closed:
-                data = await self._reader.read()
-                self.received_at = time.monotonic()
-                for packet in self.decoder.feed(data):
-                    on_packet(packet)
+                await self.turns.wait(size)
+                for packet in self.decoder.feed():
                     if self.closed:
                         break
+                    on_packet(packet)
+                if not self.closed:
+                    size = await self._receive()
         except StreamClosedError:
             self.close_reason = self.close_reason or "closed by the peer"
         except ProtocolError as error:
@@ -81,6 +84,13 @@
             self._reader.close()
             self.stream.close()
 
+    async def _receive(self) -> int:
+        """Read bytes into the decoder; returns how many."""
+        data = await self._reader.read()
+        self.received_at = time.monotonic()
+        self.decoder.receive(data)
+        return len(data)
+
     def send(self, packets: Iterable[Packet]) -> None:
         """Write packets, except for those that exceed the peer's Maximum Packet Size (3.3.4)."""
         if self.closed:
--- a/swiftwell/fronts/mqtt/endpoint.py
+++ b/swiftwell/fronts/mqtt/endpoint.py
@@ -18,7 +18,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from swiftwell.fair_reads import ReadTurns
+from swiftwell.fair_reads import ProcessingTurns
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.mqtt.codec import (
     V5,
@@ -39,7 +39,7 @@
     Will,
     check_filter,
 )
-from swiftwell.fronts.mqtt.connection import Connection
+from swiftwell.fronts.mqtt.connection import READ_BYTES, Connection
 from swiftwell.fronts.mqtt.contract import Contract
 from swiftwell.fronts.mqtt.peer import AnswerRouter, Peer
 from swiftwell.fronts.mqtt.session import Session, handshake_window
@@ -89,7 +89,7 @@
         self._host, self._contract, self._bounds, self._admit = host, contract, bounds, admit
         self.clients: dict[str, _Client] = {}
         self._connections: set[Connection] = set()
-        self._read_turns = ReadTurns()
+        self.turns = ProcessingTurns(READ_BYTES)
         self._tasks: set[asyncio.Task] = set()
         self._server = _Server(self)
         self._sweep = PeriodicCallback(self.sweep, SWEEP_INTERVAL_S * 1_000)
@@ -125,7 +125,7 @@
         """Serve one connection until it ends."""
         bounds = self._bounds
         stream.set_nodelay(True)
-        connection = Connection(stream, 0, bounds.max_packet_bytes, bounds.max_unsent_bytes, self._read_turns)
+        connection = Connection(stream, 0, bounds.max_packet_bytes, bounds.max_unsent_bytes, self.turns)
         if len(self._connections) >= bounds.max_connections:
             # Closed without a CONNACK, which would require reading the CONNECT for the protocol version.
             connection.abort("too many connections")
@@ -143,7 +143,7 @@
 
     def adopt(self, connection: Connection, client: _Client | None) -> None:
         """Serve a connection of the previous process; `client` is None before its CONNECT."""
-        connection.server = True
+        connection.server, connection.turns = True, self.turns
         connection.decoder.restore(connection.connected)
         if client:
             client.connection = connection
--- a/swiftwell/handover/state.py
+++ b/swiftwell/handover/state.py
@@ -23,6 +23,7 @@
 
 from swiftwell import interface as io
 from swiftwell.discovery.roster import Known
+from swiftwell.fair_reads import ProcessingTurns
 from swiftwell.fronts.amqp import codec
 from swiftwell.fronts.amqp.codec import Properties
 from swiftwell.fronts.amqp.consumer import Consumer, OutgoingMessage, PendingAck, message_identity
@@ -346,6 +347,12 @@
     return streams
 
 
+def _processing_turns(gateway: Gateway) -> list[ProcessingTurns]:
+    """The turns of all MQTT connections."""
+    turns = [gateway.endpoint.turns] if gateway.endpoint else []
+    return turns + [s.peer.connection.turns for s in gateway.subscribers if s.peer.connection]
+
+
 def _set_maintenance(gateway: Gateway, on: bool) -> None:
     """Start or stop the timers for sessions, keep-alives and idle connections, which would change the state
     while it is captured."""
@@ -369,6 +376,8 @@
     gateway.paused_streams = _streams(gateway)
     for stream in gateway.paused_streams:
         _pause_stream(stream)
+    for turns in _processing_turns(gateway):
+        turns.pause()  # what was read waits in its decoder, which is handed over
     gateway.link.set_paused(True)
     _set_maintenance(gateway, False)
     deadline = time.monotonic() + timeout_s
@@ -391,6 +400,8 @@
     for stream in gateway.paused_streams:
         _resume_stream(stream)
     gateway.paused_streams = []
+    for turns in _processing_turns(gateway):
+        turns.resume()
     for _, server in _servers(gateway):
         server.add_sockets(list(server._sockets.values()))
     gateway.link.set_paused(False)
--- a/tests/test_busy_peers.py
+++ b/tests/test_busy_peers.py
@@ -35,13 +35,16 @@
 from socketbench import gateway, run
 from test_endings import long_deadline_settings
 from test_platform import RouterProcess, id_
+from tornado.iostream import IOStream
 
 from swiftwell import work_scheduler
+from swiftwell.fair_reads import ProcessingTurns
 from swiftwell.fronts.fastcgi import codec
 from swiftwell.fronts.fastcgi.arrival import ArrivalClock
 from swiftwell.fronts.fastcgi.connection import READ_BYTES
 from swiftwell.fronts.fastcgi.session import MAX_FRUITLESS_SWEEPS, RECORD_COST, Session
 from swiftwell.fronts.mqtt import codec as mqtt
+from swiftwell.fronts.mqtt import connection as mqtt_connection
 from swiftwell.http.http1 import Response
 from swiftwell.http.server import Server
 
@@ -311,6 +314,34 @@
     run(main())
 
 
+# Guards against: only full reads took turns, so that an iteration cost one read of each client.
+def test_mqtt_clients_whose_reads_are_not_full_share_the_event_loop(tmp_path, monkeypatch):
+    async def main():
+        async with gateway(tmp_path) as gw:
+            clients = [socket.create_connection((HOST, gw.listener_port)) for _ in range(20)]
+            for number, client in enumerate(clients):
+                client.sendall(mqtt.encode(mqtt.Connect(f"c{number}"), mqtt.V5))
+            await until(lambda: len(gw.endpoint.clients) == len(clients))
+            packets, decode = [], mqtt.Decoder._decode_packet
+            monkeypatch.setattr(
+                mqtt.Decoder, "_decode_packet", lambda *packet: packets.append(1) or decode(*packet)
+            )
+            ping = mqtt.encode(mqtt.Ping(mqtt.Type.PINGREQ), mqtt.V5)
+            count = mqtt_connection.READ_BYTES // 2 // len(ping)
+            for client in clients:
+                client.sendall(ping * count)
+            per_iteration = []
+            while len(packets) < count * len(clients):
+                before = len(packets)
+                await asyncio.sleep(0)
+                per_iteration.append((len(packets) - before) * len(ping))
+            assert max(per_iteration) <= 2 * mqtt_connection.READ_BYTES  # one full read, and one begun
+            for client in clients:
+                client.close()
+
+    run(main())
+
+
 def test_an_amqp_broker_that_sends_without_an_end_stops_nobody(tmp_path):
     async def main():
         async with amqpbench.broker() as server:
@@ -324,3 +355,31 @@
             await publisher.client.close()
 
     run(main())
+
+
+# Guards against: packets that waited for their turn during a hand-over were processed by nobody, or by both.
+def test_packets_that_wait_for_their_turn_are_handed_over():
+    async def main():
+        here, there = socket.socketpair()
+        here.setblocking(False)
+        turns, packets = ProcessingTurns(mqtt_connection.READ_BYTES), []
+        connection = mqtt_connection.Connection(IOStream(here), mqtt.V5, 1 << 16, 1 << 16, turns)
+        turns.pause()
+        task = asyncio.ensure_future(connection.run(packets.append))
+        there.sendall(mqtt.encode(mqtt.Ping(mqtt.Type.PINGREQ), mqtt.V5))
+        await asyncio.sleep(0.05)
+        assert not packets
+        connection.decoder.receive(mqtt.encode(mqtt.Ping(mqtt.Type.PINGREQ), mqtt.V5))  # as if taken over
+        turns.resume()
+        await until(lambda: len(packets) == 2)
+        turns.pause()
+        there.sendall(mqtt.encode(mqtt.Ping(mqtt.Type.PINGREQ), mqtt.V5))
+        await until(lambda: connection.decoder.pending)
+        await asyncio.sleep(0.05)
+        assert len(packets) == 2 and connection.decoder.pending == 2  # what a hand-over takes
+        there.close()
+        connection.abort("over")
+        turns.resume()
+        await task
+
+    asyncio.run(main())
