--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -27,22 +26,19 @@
     Event,
     RequestAborted,
     RequestReceived,
-    Session,
     response_head,
 )
-from swiftwell.fronts.host import Host
+from swiftwell.fronts.fastcgi.turn_reader import READ_BYTES, READ_COST, ReaderOwner, TurnReader
 from swiftwell.fronts.memory_budget import MemoryBudget
 from swiftwell.fronts.overload import OverloadControl
 from swiftwell.fronts.trigger import TOO_MANY, Answer, Kind, Trigger
-from swiftwell.sockets import TcpStream, peek, unread_bytes
-from swiftwell.work_scheduler import Participant, WorkScheduler
+from swiftwell.sockets import TcpStream, peek
 
 CALL_BYTES = 6_000  # memory of an open request without its body: in the gateway, the module and the link
 BODY_COPIES = 2  # of an open request: as received, and as written to a worker
-READ_BYTES = 4_096  # per read, which may hold 128 requests without parameters
-# Costs in units of `work_scheduler`: of a connection's opening, a read, a request that is answered without
-# the gateway, one that becomes a call, and the end of an open call before its answer.
-OPENING_COST, READ_COST, REQUEST_COST, CALL_COST, WITHDRAWAL_COST = 4, 1, 1, 5, 2
+# Costs in units of `work_scheduler`: of a connection's opening, a request that is answered without the
+# gateway, one that becomes a call, and the end of an open call before its answer.
+OPENING_COST, REQUEST_COST, CALL_COST, WITHDRAWAL_COST = 4, 1, 5, 2
 MAX_UNSENT_UNDER_PRESSURE_BYTES = 16_384  # of a client that holds the most: about one answer
 MAX_RECORD_UNDER_PRESSURE_BYTES = 4_096  # likewise, of a record that is incomplete
 MAX_UNSENT_BYTES = 1 << 20  # beyond this a client counts as not reading; the output of one flush comes on top
@@ -51,45 +47,32 @@
 MAX_UNREAD_BYTES = MAX_OPEN_REQUESTS * (MAX_BODY_BYTES + 1_024)  # of all that a client may have open
 # Before a close, at most all that a client may have open is processed, in reads of a part each.
 CLOSING_COST = MAX_OPEN_REQUESTS * (REQUEST_COST + READ_COST * (1 + MAX_BODY_BYTES // READ_BYTES))
-_END = object()  # of the events of a read
 REFUSAL_STATUS = {TOO_MANY: 429}  # HTTP status of a refusal by its reason; 503 for all others
 
 
-class Owner(Protocol):
+class Owner(ReaderOwner, Protocol):
     """The listener, as its connections see it."""
 
-    host: Host
     contract: rq.Contract
     healthy: Callable[[], bool]
     draining: bool
     open_ids: set[str]
     rejections: Counter[str]
-    scheduler: WorkScheduler
     overload: OverloadControl
     memory: MemoryBudget[Connection]
 
-    def unseen_s(self) -> float:
-        """Upper bound of the time for which the event loop has not polled its sockets."""
-        ...
-
     def mark_used(self, connection: Connection) -> None:
         """A request arrived or a response was sent: the connection becomes the last to be evicted."""
 
     def schedule_flush(self, connection: Connection) -> None:
         """The connection has output to write at the end of this loop iteration."""
 
-    def account(self, connection: Connection) -> None:
-        """What the connection holds may have changed."""
-
     def request_withdrawn(self, held_bytes: int) -> None:
         """A request with so much memory was withdrawn: the gateway may hold it for a moment longer."""
 
     def connection_finishing(self, connection: Connection) -> None:
         """The connection has begun to close gracefully."""
 
-    def connection_ended(self, connection: Connection) -> None:
-        """The connection has ended."""
-
     def log(self, event: str, **fields: object) -> None:
         """Write a log line."""
 
@@ -102,24 +85,16 @@
     number: int
 
 
-class Connection(Participant):
+class Connection(TurnReader):
     """One connection and its session.
 
     `arrivals`: the clock of its bytes.
     """
 
     def __init__(self, listener: Owner, stream: TcpStream, number: int, arrivals: ArrivalClock) -> None:
-        super().__init__()
-        self._listener, self.stream, self.name = listener, stream, number
-        self.session = Session()
-        self._arrivals = arrivals
-        # At most one read is complete and not passed to the session, and at most one is being processed.
-        self._reading: asyncio.Future[bytes] | None = None
-        self._reads = 0  # that were started
-        self._events: Iterator[Event | None] | None = None  # of the read that is being processed
-        self._newest_arrived_s = self._others_arrived_s = 0.0  # when its bytes had arrived, monotonic
-        self._left_behind = False  # it may have left bytes in the kernel
-        self._processed: asyncio.Future[None] | None = None  # set once that read is processed
+        super().__init__(listener, stream, arrivals)
+        self._listener: Owner = listener
+        self.name = number
         self.triggers: dict[int, Trigger] = {}
         self._calls_bytes = 0  # memory of the open requests
         self._unsent_bytes = 0  # passed to the stream and not taken by the kernel yet
@@ -127,7 +102,6 @@
         self._output: list[bytes] = []
         self._close_requested = False  # the client asked for the close after an answered request
         self._refusing = False  # requests are refused, as the connection is about to close
-        self.finishing = False  # no further request is taken
         self._writing: asyncio.Future[None] | None = None
         listener.scheduler.enter(self, OPENING_COST)
 
@@ -140,154 +114,13 @@
         """
         return self.session.idle and not (self._has_unprocessed or self._output or self.stream.writing())
 
-    @property
-    def has_work(self) -> bool:
-        """Whether a read is to be processed."""
-        return self._events is not None
-
-    @property
-    def _waits_for_bytes(self) -> bool:
-        """Whether all that was there at the last read is processed."""
-        return self._reading is not None and not self._reading.done()
-
-    @property
-    def _has_unprocessed(self) -> bool:
-        """Whether there are bytes to process: of a read, or in the kernel, which will be read next."""
-        return self._events is not None or not self._waits_for_bytes
-
-    async def run(self) -> None:
-        """Serve until the connection ends."""
-        try:
-            while True:
-                if self._events is not None:
-                    self._processed = asyncio.get_running_loop().create_future()
-                    await self._processed
-                if self._reading is None:
-                    self._start_read()
-                number = self._reads
-                data = await self._reading  # type: ignore[misc]
-                if self._reading is not None and self._reads == number:  # else it was processed already
-                    self._reading = None
-                    self.receive(data, len(data) >= READ_BYTES)
-        except (OSError, StreamClosedError):
-            pass
-        finally:
-            # The exception of the last read refers to this frame, so keeping it would form a reference cycle;
-            # thousands of these per minute caused full garbage collections of 0.15 s, in which no response
-            # was sent.
-            self._reading = None
-            self.stream.close()
-            self._listener.connection_ended(self)
-
-    def _start_read(self) -> None:
-        """Begin to read; raises StreamClosedError if the connection has ended."""
-        self._reads += 1
-        self._reading = self.stream.read_bytes(READ_BYTES, partial=True)
-        if self._waits_for_bytes:
-            self._arrivals.mark_empty(time.monotonic())
-
-    def receive(self, data: bytes, left_behind: bool) -> None:
-        """Take bytes from the client, which are processed in turns.
-
-        `left_behind`: the kernel may hold bytes that came after them.
-        """
-        self._begin_events(data, left_behind)
-        self._listener.scheduler.submit(self)
-        if self.is_queued:
-            self._arrivals.mark_left_behind()
-            self._listener.account(self)
-
-    def _begin_events(self, data: bytes, left_behind: bool) -> None:
-        now_s = time.monotonic()
-        newest_s, others_s = self._arrivals.ages_s(
-            self.stream.socket, now_s, self._listener.unseen_s(), left_behind
-        )
-        self._newest_arrived_s, self._others_arrived_s = now_s - newest_s, now_s - others_s
-        self._left_behind = left_behind
-        # What comes once the connection closes is read only so that nothing is unread at the close.
-        self._events = iter(()) if self.finishing else self.session.events(data)
-
-    def take_turn(self, max_cost: int) -> int:
-        """Process bytes that have arrived, for about this cost; returns what it was."""
-        cost = self._process(max_cost)
-        if self._events is not None:
-            self._arrivals.mark_left_behind()
-        return round(cost)
-
-    def _longest_unprocessed_s(self) -> float:
-        """For how long bytes may have waited at most that are not processed yet."""
-        now_s = time.monotonic()
-        since_empty_s = self._arrivals.since_empty_s(now_s)
-        return since_empty_s if self._events is None else max(since_empty_s, now_s - self._others_arrived_s)
-
-    def _process(self, max_cost: float) -> float:
-        """Process bytes that have arrived, until this has cost so much; returns the cost."""
-        cost = 0.0
-        try:
-            if self._events is None:
-                self._begin_next_read()
-            while cost < max_cost and self._events is not None:
-                event = next(self._events, _END)
-                if event is _END:
-                    self._begin_next_read()
-                    cost += READ_COST
-                elif event is not None:
-                    cost += self._handle(event)
-                cost += self.session.take_cost()
-                if self.stream.closed():
-                    self._drop_events()
-        except Exception as error:  # what follows in the stream can't be told
-            self._listener.host.record_failure("client-records", error)
-            self.session.broken = "records that could not be processed"
-            self._drop_events()
+    def _after_processing(self) -> None:
         self.silent_sweeps = 0 if self.session.had_request else self.silent_sweeps
         self._listener.account(self)
         if self.session.broken:
             self.finish()
         elif self.session.output:
             self.send(b"")
-        return cost
-
-    def _begin_next_read(self) -> None:
-        """Go on with bytes that have arrived since the last read, if there are any."""
-        if data := self._read_at_once():
-            self._begin_events(data, len(data) >= READ_BYTES)
-        else:
-            self._drop_events()
-
-    def _drop_events(self) -> None:
-        """Nothing is being processed any more."""
-        self._events = None
-        self._listener.scheduler.discard(self)
-        if self._processed is not None and not self._processed.done():
-            self._processed.set_result(None)
-
-    def _read_at_once(self) -> bytes:
-        """Further bytes that have arrived, if any.  If the client has left, the connection ends."""
-        if self._reading is None:
-            with contextlib.suppress(StreamClosedError):
-                self._start_read()
-        if self.stream.closed():
-            self._listener.connection_ended(self)
-        return self._take_completed_read()
-
-    def _completed_read(self) -> bytes:
-        """The bytes that `run` is about to get, if any."""
-        reading = self._reading
-        if reading is None or not reading.done() or reading.cancelled() or reading.exception():
-            return b""
-        return reading.result()
-
-    def _take_completed_read(self) -> bytes:
-        """Like `_completed_read`, and `run` does not get them."""
-        if data := self._completed_read():
-            self._reading = None
-        return data
-
-    def _unread_bytes(self) -> int:
-        """Size of what the client has sent and is not passed to the session yet."""
-        received_bytes = len(self._completed_read()) + len(self.stream.buffered())
-        return received_bytes + unread_bytes(self.stream.socket)
 
     def _handle(self, event: Event) -> int:
         """Handle one event and return its cost; an unexpected error concerns its request only."""
--- a/swiftwell/fronts/fastcgi/listener.py
+++ b/swiftwell/fronts/fastcgi/listener.py
@@ -20,8 +20,9 @@
 from swiftwell.fronts.fastcgi import request as rq
 from swiftwell.fronts.fastcgi.acceptor import Acceptor
 from swiftwell.fronts.fastcgi.arrival import ArrivalClock
-from swiftwell.fronts.fastcgi.connection import READ_BYTES, Connection
+from swiftwell.fronts.fastcgi.connection import Connection
 from swiftwell.fronts.fastcgi.pending import FIRST_READ_BYTES, PendingConnections, reject
+from swiftwell.fronts.fastcgi.turn_reader import READ_BYTES
 from swiftwell.fronts.host import Host
 from swiftwell.fronts.memory_budget import MemoryBudget
 from swiftwell.fronts.overload import WAIT_SHARE, OverloadControl
--- a/tests/test_busy_peers.py
+++ b/tests/test_busy_peers.py
@@ -41,8 +41,8 @@
 from swiftwell.fair_reads import ProcessingTurns
 from swiftwell.fronts.fastcgi import codec
 from swiftwell.fronts.fastcgi.arrival import ArrivalClock
-from swiftwell.fronts.fastcgi.connection import READ_BYTES
 from swiftwell.fronts.fastcgi.session import MAX_FRUITLESS_SWEEPS, RECORD_COST, Session
+from swiftwell.fronts.fastcgi.turn_reader import READ_BYTES
 from swiftwell.fronts.mqtt import codec as mqtt
 from swiftwell.fronts.mqtt import connection as mqtt_connection
 from swiftwell.http.http1 import Response
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -30,8 +30,8 @@
 from swiftwell.fair_queue import FairQueue, Flow
 from swiftwell.fronts.fastcgi import codec
 from swiftwell.fronts.fastcgi import connection as fc
-from swiftwell.fronts.fastcgi.connection import READ_BYTES
 from swiftwell.fronts.fastcgi.session import MAX_INCOMPLETE_SWEEPS, PARAMS_BYTE_COST, Session
+from swiftwell.fronts.fastcgi.turn_reader import READ_BYTES
 from swiftwell.fronts.overload import INTERVAL_S, LIFT_INTERVALS, MAX_OPEN_CALLS, OverloadControl
 from swiftwell.work_scheduler import Participant, WorkScheduler
 
--- a/tests/test_new_connections.py
+++ b/tests/test_new_connections.py
@@ -23,8 +23,8 @@
 from test_request_deadlines import SLACK_MS, STALL_S, connect, ttl_ms
 
 from swiftwell.fronts.fastcgi import acceptor, arrival
-from swiftwell.fronts.fastcgi.connection import READ_BYTES
 from swiftwell.fronts.fastcgi.pending import FIRST_READ_BYTES
+from swiftwell.fronts.fastcgi.turn_reader import READ_BYTES
 
 WAIT = "6000"
 EDGES = sorted(
