--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -307,6 +307,7 @@
         if self.stream.closed():
             return 0
         held_bytes = self._calls_bytes + self._unsent_bytes + self.session.held_bytes
+        held_bytes += self._received_size
         return held_bytes + sum(map(len, self._output)) if self._output else held_bytes
 
     def give_way(self) -> None:
--- a/swiftwell/fronts/fastcgi/turn_reader.py
+++ b/swiftwell/fronts/fastcgi/turn_reader.py
@@ -119,6 +119,11 @@
             self._arrivals.mark_left_behind()
             self._listener.account(self)
 
+    @property
+    def _received_size(self) -> int:
+        """Size of what was read and is not passed to the session yet."""
+        return len(self._completed_read()) + self.stream.buffered_size
+
     def _begin_events(self, data: bytes, left_behind: bool) -> None:
         now_s = time.monotonic()
         newest_s, others_s = self._arrivals.ages_s(
@@ -211,5 +216,4 @@
 
     def _unread_bytes(self) -> int:
         """Size of what the client has sent and is not passed to the session yet."""
-        received_bytes = len(self._completed_read()) + len(self.stream.buffered())
-        return received_bytes + unread_bytes(self.stream.socket)
+        return self._received_size + unread_bytes(self.stream.socket)
--- a/swiftwell/sockets.py
+++ b/swiftwell/sockets.py
@@ -99,6 +99,11 @@
         """Raises OSError if no socket can be created."""
         super().__init__(connected or _TcpSocket(socket.AF_INET, socket.SOCK_STREAM), **bounds)
 
+    @property
+    def buffered_size(self) -> int:
+        """Size of what `buffered` returns."""
+        return len(self._read_buffer)
+
     def buffered(self) -> bytes:
         """What was read from the socket and not returned: some is read while no read is pending."""
         return bytes(self._read_buffer)
--- a/tests/test_withdrawn_attempts.py
+++ b/tests/test_withdrawn_attempts.py
@@ -62,7 +62,7 @@
     run(main())
 
 
-@pytest.mark.parametrize("cut_s", [0.2, 1.0])
+@pytest.mark.parametrize("cut_s", [0.2, 1.0, 6.0])
 def test_who_stays_on_a_shared_connection_is_answered_once_and_nothing_runs_twice(tmp_path, cut_s):
     async def main():
         async with Worker(answers_probes) as worker, CutPath(worker.port) as path:
