--- a/swiftwell/fair_queue.py
+++ b/swiftwell/fair_queue.py
@@ -68,6 +68,11 @@
         # Of equal start tags, the flow that used less goes first.
         heapq.heappush(self._heap, (flow.start_tag, flow.finish_tag, self._sequence, flow))
 
+    def serve(self, flow: AnyFlow) -> None:
+        """Give a flow its turn at once, as none is queued."""
+        flow.start_tag = max(self.virtual_time, flow.finish_tag)
+        self.virtual_time = flow.start_tag
+
     def discard(self, flow: AnyFlow) -> None:
         """Take a flow out of the queue, if it is there."""
         if flow.is_queued:
--- a/swiftwell/fronts/fastcgi/connection.py
+++ b/swiftwell/fronts/fastcgi/connection.py
@@ -167,14 +167,14 @@
 
         Never under the id of an open request, which may run: a refusal would deny that.
         """
-        listener = self._listener
-        if rq.is_open(event.fields, listener.open_ids):
-            return ""
+        listener, open_ids = self._listener, self._listener.open_ids
         if self._refusing or listener.draining:
-            return "closing"
-        if not listener.overload.admits(len(self.triggers), len(listener.open_ids), len(listener.memory)):
-            return "overloaded"
-        return ""
+            reason = "closing"
+        elif listener.overload.admits(len(self.triggers), len(open_ids), len(listener.memory)):
+            return ""
+        else:
+            reason = "overloaded"
+        return "" if rq.is_open(event.fields, open_ids) else reason
 
     def _read_trigger(self, event: RequestReceived) -> Trigger:
         """The trigger of a request; raises Rejected if it is invalid or there is no room for it."""
@@ -210,7 +210,9 @@
         number = trigger.ref.number  # type: ignore[attr-defined]
         if self.triggers.get(number) is not trigger:
             return False
-        if self._has_unprocessed and self._longest_unprocessed_s() > LOOK_AHEAD_AFTER_S:
+        if not self._has_unprocessed:
+            return True
+        if self._longest_unprocessed_s() > LOOK_AHEAD_AFTER_S:
             self._look_ahead(number)
         return number in self.triggers
 
@@ -307,7 +309,8 @@
         if self.stream.closed():
             return 0
         held_bytes = self._calls_bytes + self._unsent_bytes + self.session.held_bytes
-        held_bytes += self._received_size
+        if self.is_queued:
+            held_bytes += self._received_size
         return held_bytes + sum(map(len, self._output)) if self._output else held_bytes
 
     def give_way(self) -> None:
--- a/swiftwell/fronts/fastcgi/session.py
+++ b/swiftwell/fronts/fastcgi/session.py
@@ -86,7 +86,7 @@
         self._ended_params: list[IncompleteRequest] = []  # whose params ended in the current read
         self._newest = True  # the current record is the last one of its read
         self._received_bytes = self._processed_bytes = 0  # passed to `events`, and processed by it
-        self.cost = 0.0  # of the records since the last `take_cost`
+        self.cost = 0.0  # of the records, in units of `work_scheduler`; the caller takes it off
 
     def receive(self, data: bytes) -> list[Event]:
         """All events of received bytes; none once `broken`."""
@@ -120,7 +120,8 @@
                     self._record(kind, number, content, events)
                     self._had_progress |= bool(events)
                     yield from events
-                yield None
+                if len(records) == RECORDS_PER_STEP:
+                    yield None
             if not decoder.partial:
                 self._stalled_sweeps = 0
             yield from self._check_ended_params()
@@ -136,11 +137,6 @@
             following
         )
 
-    def take_cost(self) -> float:
-        """The cost of the records that were processed since the last call, in units of `work_scheduler`."""
-        cost, self.cost = self.cost, 0.0
-        return cost
-
     def _check_ended_params(self) -> Iterator[None]:
         """Check params whose request does not end with them in one read.
 
--- a/swiftwell/fronts/fastcgi/turn_reader.py
+++ b/swiftwell/fronts/fastcgi/turn_reader.py
@@ -149,7 +149,7 @@
 
     def _process(self, max_cost: float) -> float:
         """Process bytes that have arrived, until this has cost so much; returns the cost."""
-        cost = 0.0
+        cost, session = 0.0, self.session
         try:
             if self._events is None:
                 self._begin_next_read()
@@ -160,7 +160,8 @@
                     cost += READ_COST
                 elif event is not None:
                     cost += self._handle(event)
-                cost += self.session.take_cost()
+                cost += session.cost
+                session.cost = 0.0
                 if self.stream.closed():
                     self._drop_events()
         except Exception as error:  # what follows in the stream can't be told
--- a/swiftwell/gateway/timer_wheel.py
+++ b/swiftwell/gateway/timer_wheel.py
@@ -92,7 +92,9 @@
 
     def due(self, now_us: int, limit: int = sys.maxsize) -> list[Any]:
         """Remove timers that are due and return their payloads, at most `limit` of them."""
-        self._collect(now_us)
+        end = now_us // TICK_US
+        if end >= self._next_tick:
+            self._collect(end)
         result: list[Any] = []
         while self._overdue and len(result) < limit:
             number, payload = self._overdue.popleft()
@@ -100,11 +102,8 @@
                 result.append(payload)
         return result
 
-    def _collect(self, now_us: int) -> None:
-        """Move the timers that are due out of their slots."""
-        end = now_us // TICK_US
-        if end < self._next_tick:
-            return
+    def _collect(self, end: int) -> None:
+        """Move the timers that are due by the tick `end` out of their slots."""
         found: list[tuple[int, int, Any]] = []
         # After a long pause each slot is visited once, not once for each revolution that passed.
         for tick in range(self._next_tick, min(end, self._next_tick + SLOTS - 1) + 1):
--- a/swiftwell/work_scheduler.py
+++ b/swiftwell/work_scheduler.py
@@ -16,7 +16,7 @@
 
 from swiftwell.fair_queue import FairQueue, Flow
 
-WORK_PER_ITERATION = 100  # units: some 4 ms of a core, 8 ms on half of one
+WORK_PER_ITERATION = 40  # units: some 2 ms of a core; answers of workers wait for as long
 WORK_PER_TURN = 5  # units; connections that are always busy wait for so much of each other one
 
 
@@ -69,7 +69,12 @@
         """A connection has work; its turn comes at once if none waits and this iteration has room for it."""
         if participant.is_queued or participant is self._current:
             return
-        self._push(participant)
+        if self._current is None and self._spent < WORK_PER_ITERATION and not len(self._queue):
+            self._queue.serve(participant)
+            participant.waits_since_s = time.monotonic()
+            self._give_turn(participant)
+        else:
+            self._push(participant)
         if self._current is None:
             self._give_turns()
 
--- a/swiftwell/workers/resp/connection.py
+++ b/swiftwell/workers/resp/connection.py
@@ -153,7 +153,8 @@
             reader = FairReader(self._stream, READ_BYTES, self.owner.read_turns)
             while True:
                 self._receive(await reader.read())
-                await self._permission_to_read()
+                if self._permit is not None or self._parser.buffered_bytes > UNPERMITTED_BYTES:
+                    await self._permission_to_read()
         except (OSError, TimeoutError, StreamClosedError) as error:
             self._record_failure(error)
         except RespError as error:
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -375,11 +375,12 @@
     for number in range(1, 33):
         pairs = b"".join(codec.pair(b"%04x" % n, b"") for n in range(2_700))
         session.receive(codec.begin(number) + codec.record(codec.PARAMS, number, pairs))
-    session.take_cost()
+    session.cost = 0.0
     ends = b"".join(codec.record(codec.PARAMS, number, b"") for number in range(1, 33))
     steps = []
     for _ in session.events(ends):
-        steps.append(session.take_cost())
+        steps.append(session.cost)
+        session.cost = 0.0
     assert sum(steps) > 32 * 2_700 * 6 * PARAMS_BYTE_COST * 0.9
     assert max(steps) < 2_700 * 6 * PARAMS_BYTE_COST + 3
 
